--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,86 @@
+//! The operators' port of each process: state dump, metrics and drain.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::code::Code;
+use crate::error::Result;
+use crate::http::{Request, Respond, Response, Server, json as json_response, serve, whole};
+use crate::metrics::Metrics;
+
+/// A request of an operator to the process's control thread.
+#[derive(Debug)]
+pub enum AdminCall {
+    /// Describe the process's state.
+    Dump(oneshot::Sender<Value>),
+    /// Shut down gracefully.
+    Drain,
+    /// A configuration revision exists.
+    Hint(u64),
+}
+
+/// Answers operators.
+pub struct Admin {
+    calls: mpsc::UnboundedSender<AdminCall>,
+    metrics: Arc<Metrics>,
+}
+
+impl Admin {
+    /// Starts the operators' port.
+    pub fn start(
+        addr: SocketAddr,
+        calls: mpsc::UnboundedSender<AdminCall>,
+        metrics: Arc<Metrics>,
+    ) -> Result<Server> {
+        serve(addr, 1, Arc::new(Self { calls, metrics }))
+    }
+
+    async fn dump(&self) -> Response {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.calls.send(AdminCall::Dump(tx));
+        match rx.await {
+            Ok(state) => json_response(StatusCode::OK, &state),
+            Err(_) => refusal(Code::Draining),
+        }
+    }
+
+    fn hint(&self, revision: &str) -> Response {
+        let Ok(revision) = revision.parse() else {
+            return refusal(Code::BadBody);
+        };
+        let _ = self.calls.send(AdminCall::Hint(revision));
+        json_response(StatusCode::OK, &json!({ "ok": true }))
+    }
+}
+
+impl Respond for Admin {
+    async fn respond(self: Arc<Self>, req: Request) -> Response {
+        match (&req.method, req.uri.path()) {
+            (&Method::GET, "/state") => self.dump().await,
+            (&Method::GET, "/metrics") => whole(
+                StatusCode::OK,
+                "text/plain; version=0.0.4",
+                self.metrics.render(),
+            ),
+            (&Method::GET, "/healthz") => json_response(StatusCode::OK, &json!({ "ok": true })),
+            (&Method::POST, "/drain") => {
+                let _ = self.calls.send(AdminCall::Drain);
+                json_response(StatusCode::ACCEPTED, &json!({ "draining": true }))
+            }
+            (&Method::POST, path) => match path.strip_prefix("/hint/") {
+                Some(revision) => self.hint(revision),
+                None => refusal(Code::NoRoute),
+            },
+            _ => refusal(Code::NoRoute),
+        }
+    }
+}
+
+fn refusal(code: Code) -> Response {
+    let body = json!({ "error": { "code": code.number(), "message": code.text() } });
+    json_response(code.status(), &body)
+}
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,330 @@
+//! The agent: the only door to the endpoint beside it.
+//!
+//! Everything runs on one thread. No request and no order reaches the endpoint
+//! but through here, so this process alone answers for the endpoint's memory,
+//! for calls that run at most once, and for its drain.
+
+mod call;
+mod endpoint;
+mod outcomes;
+pub mod queue;
+mod reports;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::admin::{Admin, AdminCall};
+use crate::clock::{Clock, Millis};
+use crate::code::Code;
+use crate::error::{Error, Result};
+use crate::ledger::{Ledger, Step};
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::settings::{AgentSettings, EndpointSettings};
+use crate::tls::Identity;
+use crate::transport::{bind, read_frame, write_frame};
+use crate::wire::{Action, AgentStatus, EndpointKind, Fence, Hello, Order, OrderReply};
+
+use endpoint::{EndpointClient, OrderResult};
+use outcomes::Outcomes;
+use queue::{Queue, Ticket};
+
+/// The key of the placement leader in the platform's service.
+pub const LEADER_KEY: &str = "leader/placement";
+/// How long a stopping agent announces itself before it may end.
+const ANNOUNCE: Duration = Duration::from_millis(1_500);
+/// Time between two looks at whether a stopping agent is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time between two attempts to learn the fencing number in force.
+const FENCE_RETRY: Duration = Duration::from_millis(500);
+/// How long an unanswered order may still take effect.
+const LAST_MOMENT: Duration = Duration::from_secs(10);
+
+/// One agent's state. Only its own thread touches it.
+pub(crate) struct Agent {
+    settings: AgentSettings,
+    clock: Clock,
+    endpoint: EndpointClient,
+    metrics: Arc<Metrics>,
+    queue: RefCell<Queue>,
+    grants: RefCell<Vec<(Ticket, oneshot::Sender<()>)>>,
+    ledger: RefCell<Ledger>,
+    outcomes: RefCell<Outcomes>,
+    draining: Cell<bool>,
+    healthy: Cell<bool>,
+    /// Calls between their arrival and the last byte of their answer.
+    open_calls: Cell<usize>,
+    knows_floor: Cell<bool>,
+}
+
+/// Runs an agent until it is told to stop and its last request is answered.
+pub fn run(settings: AgentSettings) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Error::io("starting the runtime", e))?;
+    LocalSet::new().block_on(&runtime, run_local(settings))
+}
+
+async fn run_local(settings: AgentSettings) -> Result<()> {
+    let identity = Identity::load(&settings.tls)?;
+    let socket = bind(settings.peer, &identity)?;
+    let metrics = Arc::new(Metrics::new("rattanstall-agent")?);
+    let (tx, calls) = mpsc::unbounded_channel();
+    let admin = Admin::start(settings.admin, tx.clone(), metrics.clone())?;
+    let agent = Rc::new(Agent::new(settings, metrics));
+    spawn_local(agent.clone().learn_floor());
+    spawn_local(agent.clone().poll_endpoint());
+    spawn_local(agent.clone().accept(socket.clone()));
+    spawn_local(forward_signals(tx));
+    log::info!("agent {} is up", agent.settings.name);
+    agent.clone().serve_admin(calls).await;
+    agent.drain().await;
+    socket.close(0u32.into(), b"stopped");
+    socket.wait_idle().await;
+    admin.stop();
+    log::info!("agent {} stopped", agent.settings.name);
+    Ok(())
+}
+
+impl Agent {
+    fn new(settings: AgentSettings, metrics: Arc<Metrics>) -> Self {
+        let queue = Queue::new(settings.max_running, settings.max_waiting);
+        Self {
+            endpoint: EndpointClient::new(settings.endpoint.address()),
+            clock: Clock::system(),
+            metrics,
+            queue: RefCell::new(queue),
+            grants: RefCell::default(),
+            ledger: RefCell::new(Ledger::new()),
+            outcomes: RefCell::default(),
+            draining: Cell::new(false),
+            healthy: Cell::new(false),
+            open_calls: Cell::new(0),
+            knows_floor: Cell::new(false),
+            settings,
+        }
+    }
+
+    fn status(&self) -> AgentStatus {
+        let kind = match &self.settings.endpoint {
+            EndpointSettings::Engine { .. } => EndpointKind::Engine,
+            EndpointSettings::Service { service, .. } => EndpointKind::Service(service.clone()),
+        };
+        let queue = self.queue.borrow();
+        let ledger = self.ledger.borrow();
+        AgentStatus {
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            kind,
+            draining: self.draining.get(),
+            healthy: self.healthy.get(),
+            running: queue.running() as u32,
+            waiting: queue.waiting() as u32,
+            max_running: self.settings.max_running as u32,
+            memory_bytes: ledger.memory_bytes().unwrap_or_default(),
+            models: ledger.residents(),
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let status = self.status();
+        json!({
+            "role": "agent",
+            "name": status.name,
+            "zone": status.zone,
+            "draining": status.draining,
+            "healthy": status.healthy,
+            "running": status.running,
+            "waiting": status.waiting,
+            "open_calls": self.open_calls.get(),
+            "fence_floor": self.ledger.borrow().floor(),
+            "knows_floor": self.knows_floor.get(),
+            "memory_bytes": status.memory_bytes,
+            "memory_used_bytes": self.ledger.borrow().used_bytes(),
+            "models": status.models,
+        })
+    }
+
+    /// Reads which placement leader is in force, before any order is obeyed.
+    async fn learn_floor(self: Rc<Self>) {
+        let platform = Platform::new(self.settings.platform);
+        loop {
+            if let Ok(read) = platform.read(LEADER_KEY).await {
+                // Without a leader, the next one is created after this revision.
+                let leader = read.items.first();
+                let floor = leader.map_or(read.revision + 1, |item| item.created);
+                self.ledger.borrow_mut().raise_floor(Fence(floor));
+                self.knows_floor.set(true);
+                return;
+            }
+            sleep(FENCE_RETRY).await;
+        }
+    }
+
+    /// Reads the endpoint's own report again and again.
+    async fn poll_endpoint(self: Rc<Self>) {
+        let is_engine = matches!(self.settings.endpoint, EndpointSettings::Engine { .. });
+        loop {
+            let ticket = self.ledger.borrow().report_ticket();
+            let is_up = if is_engine {
+                match self.endpoint.report().await {
+                    Ok(report) => {
+                        let now = self.clock.now();
+                        self.ledger.borrow_mut().report(now, ticket, &report);
+                        true
+                    }
+                    Err(error) => {
+                        log::debug!("endpoint report: {error}");
+                        false
+                    }
+                }
+            } else {
+                self.endpoint.is_up().await
+            };
+            if is_up != self.healthy.replace(is_up) {
+                log::info!("endpoint healthy: {is_up}");
+            }
+            sleep(endpoint::REPORT_INTERVAL).await;
+        }
+    }
+
+    async fn accept(self: Rc<Self>, socket: Endpoint) {
+        while let Some(incoming) = socket.accept().await {
+            let agent = self.clone();
+            spawn_local(async move {
+                if let Ok(connection) = incoming.await {
+                    agent.serve_connection(connection).await;
+                }
+            });
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, connection: Connection) {
+        while let Ok((tx, rx)) = connection.accept_bi().await {
+            spawn_local(self.clone().serve_stream(tx, rx));
+        }
+    }
+
+    async fn serve_stream(self: Rc<Self>, mut tx: SendStream, rx: RecvStream) {
+        let hello = match read_frame::<Hello>(rx).await {
+            Ok(Some(hello)) => hello,
+            Ok(None) => return,
+            Err(error) => {
+                log::warn!("bad message from a gateway: {error}");
+                return;
+            }
+        };
+        match hello {
+            Hello::Call(call) => self.serve_call(call, tx).await,
+            Hello::Watch => self.send_reports(tx).await,
+            Hello::Order(order) => {
+                let reply: OrderReply = self.obey(order).await;
+                let _ = write_frame(&mut tx, &reply).await;
+                let _ = tx.finish();
+            }
+            Hello::Outcome { request, workspace } => {
+                let outcome = self.outcomes.borrow().get(request, &workspace);
+                let _ = write_frame(&mut tx, &outcome).await;
+                let _ = tx.finish();
+            }
+        }
+    }
+
+    /// Checks an order against the ledger, then sends it to the endpoint.
+    async fn obey(self: &Rc<Self>, order: Order) -> OrderReply {
+        if !self.knows_floor.get() {
+            return Err(Code::PlatformDown);
+        }
+        if self.draining.get() && order.action == Action::Load {
+            return Err(Code::Draining);
+        }
+        let step = self.ledger.borrow_mut().order(&order)?;
+        if step == Step::Nothing {
+            return Ok(());
+        }
+        match self.endpoint.order(&order).await {
+            OrderResult::Accepted => self.settle(&order),
+            OrderResult::Refused => {
+                self.ledger.borrow_mut().rejected(&order.model);
+                return Err(Code::Busy);
+            }
+            OrderResult::Unknown => {
+                let agent = self.clone();
+                spawn_local(async move {
+                    sleep(LAST_MOMENT).await;
+                    agent.settle(&order);
+                });
+                return Err(Code::OutcomeUnknown);
+            }
+        }
+        Ok(())
+    }
+
+    fn settle(&self, order: &Order) {
+        let now = self.clock.now();
+        self.ledger.borrow_mut().settled(now, &order.model);
+    }
+
+    /// Serves operators until the agent is told to stop.
+    async fn serve_admin(self: Rc<Self>, mut calls: mpsc::UnboundedReceiver<AdminCall>) {
+        while let Some(call) = calls.recv().await {
+            match call {
+                AdminCall::Dump(tx) => {
+                    let _ = tx.send(self.dump());
+                }
+                AdminCall::Hint(_) => {}
+                AdminCall::Drain => {
+                    spawn_local(self.clone().answer_dumps(calls));
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn answer_dumps(self: Rc<Self>, mut calls: mpsc::UnboundedReceiver<AdminCall>) {
+        while let Some(call) = calls.recv().await {
+            if let AdminCall::Dump(tx) = call {
+                let _ = tx.send(self.dump());
+            }
+        }
+    }
+
+    /// Takes no new work, tells the gateways, and waits for the last answer.
+    async fn drain(&self) {
+        self.draining.set(true);
+        log::info!("draining, {} calls open", self.open_calls.get());
+        sleep(ANNOUNCE).await;
+        while self.open_calls.get() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.clock.now()
+    }
+}
+
+/// Turns SIGTERM and SIGINT into a graceful shutdown.
+pub(crate) async fn forward_signals(tx: mpsc::UnboundedSender<AdminCall>) {
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    let _ = tx.send(AdminCall::Drain);
+}
--- /dev/null
+++ b/src/agent/endpoint.rs
@@ -0,0 +1,135 @@
+//! HTTP to the endpoint beside the agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+
+use crate::error::{Error, Result};
+use crate::http::{HttpClient, client, fetch, open};
+use crate::ledger::EndpointReport;
+use crate::wire::{Action, Call, Fence, Order};
+
+/// Time between two reads of the endpoint's report.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the endpoint may take to answer a report or an order.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The endpoint took it.
+    Accepted,
+    /// The endpoint certainly did not take it.
+    Refused,
+    /// No answer: it may still take effect.
+    Unknown,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallProblem {
+    /// No connection was made, so the endpoint saw nothing.
+    NotSent,
+    /// The endpoint may have seen it.
+    MayHaveRun,
+}
+
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    model: &'a str,
+    fence: Fence,
+    bytes: u64,
+}
+
+/// A client of one endpoint.
+pub struct EndpointClient {
+    base: String,
+    pooled: HttpClient,
+    /// Opens a connection for each call: a pooled one may close while a call
+    /// that must not be repeated is written to it.
+    fresh: HttpClient,
+}
+
+impl EndpointClient {
+    /// A client of the endpoint at this address.
+    pub fn new(addr: SocketAddr) -> Self {
+        let mut connector = hyper_util::client::legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        let fresh = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            base: format!("http://{addr}"),
+            pooled: client(),
+            fresh,
+        }
+    }
+
+    /// Reads what the endpoint says of its memory.
+    pub async fn report(&self) -> Result<EndpointReport> {
+        let uri = format!("{}/status", self.base);
+        let body = fetch(&self.pooled, Method::GET, &uri, Bytes::new(), CALL_TIMEOUT).await?;
+        serde_json::from_slice(&body).map_err(|e| Error::Http(e.to_string()))
+    }
+
+    /// Whether the endpoint answers.
+    pub async fn is_up(&self) -> bool {
+        let uri = format!("{}/healthz", self.base);
+        let answer = fetch(&self.pooled, Method::GET, &uri, Bytes::new(), CALL_TIMEOUT).await;
+        answer.is_ok()
+    }
+
+    /// Sends an order.
+    pub async fn order(&self, order: &Order) -> OrderResult {
+        let action = match order.action {
+            Action::Load => "load",
+            Action::Unload => "unload",
+        };
+        let uri = format!("{}/models/{action}", self.base);
+        let body = OrderBody {
+            model: &order.model,
+            fence: order.fence,
+            bytes: order.bytes,
+        };
+        let body = serde_json::to_vec(&body).unwrap_or_default();
+        let answer = open(&self.fresh, Method::POST, &uri, body.into());
+        match tokio::time::timeout(CALL_TIMEOUT, answer).await {
+            Ok(Ok(res)) if res.status().is_success() => OrderResult::Accepted,
+            Ok(Ok(res)) if res.status() != StatusCode::GATEWAY_TIMEOUT => OrderResult::Refused,
+            _ => OrderResult::Unknown,
+        }
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    pub async fn call(&self, call: &Call) -> std::result::Result<Response<Incoming>, CallProblem> {
+        let uri = format!("{}{}", self.base, call.path);
+        let req = Request::builder()
+            .method(call.method.as_str())
+            .uri(uri)
+            .header("content-type", call.content_type.as_str())
+            .header("x-request-id", call.request.to_string())
+            .header("x-workspace", call.workspace.as_str())
+            .body(Full::new(call.body.clone()))
+            .map_err(|_| CallProblem::NotSent)?;
+        let client = match call.idempotent {
+            true => &self.pooled,
+            false => &self.fresh,
+        };
+        client.request(req).await.map_err(|error| {
+            log::info!("request {}: endpoint: {error}", call.request);
+            match error.is_connect() {
+                true => CallProblem::NotSent,
+                false => CallProblem::MayHaveRun,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/src/agent/queue.rs
@@ -0,0 +1,183 @@
+//! Which waiting request an endpoint runs next, and which it cannot run in time.
+//!
+//! Interactive work goes before batch. Within an urgency the workspace that
+//! was served least goes first (a virtual token counter, after Sheng et al.,
+//! "Fairness in Serving Large Language Models", 2024), so a workspace that
+//! sends several times its share delays only itself. Within a workspace the
+//! earliest deadline goes first.
+
+use compact_str::CompactString;
+
+use crate::clock::Millis;
+use crate::code::Code;
+use crate::config::Urgency;
+
+/// Identifies one entry of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
+/// A request that wants to run.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// Its workspace.
+    pub workspace: CompactString,
+    /// Its urgency.
+    pub urgency: Urgency,
+    /// When its first token is due.
+    pub due: Millis,
+    /// The upper bound of its cost, in tokens.
+    pub cost: u64,
+}
+
+/// Why a request was refused, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason.
+    pub code: Code,
+    /// When to come back.
+    pub retry_after: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    wish: Wish,
+}
+
+#[derive(Clone, Debug)]
+struct Service {
+    workspace: CompactString,
+    /// Tokens served, in virtual time.
+    served: u64,
+}
+
+/// The queue before one endpoint.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    max_running: usize,
+    max_waiting: usize,
+    running: Vec<Ticket>,
+    waiting: Vec<Waiting>,
+    services: Vec<Service>,
+    next: u64,
+    /// A moving average of the time that a request runs, in milliseconds.
+    run_ms: u64,
+}
+
+impl Queue {
+    /// An empty queue.
+    pub fn new(max_running: usize, max_waiting: usize) -> Self {
+        Self {
+            max_running,
+            max_waiting,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            services: Vec::new(),
+            next: 0,
+            run_ms: 0,
+        }
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets a request in, or refuses it at once if it cannot run in time.
+    pub fn push(&mut self, now: Millis, wish: Wish) -> Result<Ticket, Refusal> {
+        let wait = self.expected_wait(wish.urgency);
+        if self.running.len() >= self.max_running {
+            let code = match () {
+                () if self.waiting.len() >= self.max_waiting => Some(Code::Busy),
+                () if now + wait > wish.due => Some(Code::TargetMissed),
+                () => None,
+            };
+            if let Some(code) = code {
+                let retry_after = wait.max(Millis(1));
+                return Err(Refusal { code, retry_after });
+            }
+        }
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.welcome(&wish.workspace);
+        self.waiting.push(Waiting { ticket, wish });
+        Ok(ticket)
+    }
+
+    /// Starts the next request, if one waits and may run.
+    pub fn start_next(&mut self) -> Option<Ticket> {
+        if self.running.len() >= self.max_running {
+            return None;
+        }
+        let order = |w: &Waiting| (w.wish.urgency, self.served(&w.wish.workspace), w.wish.due);
+        let (at, _) = self
+            .waiting
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, w)| order(w))?;
+        let next = self.waiting.remove(at);
+        if let Ok(at) = self.find(&next.wish.workspace) {
+            self.services[at].served += next.wish.cost.max(1);
+        }
+        self.running.push(next.ticket);
+        Some(next.ticket)
+    }
+
+    /// Ends a request that runs or waits.
+    pub fn finish(&mut self, ticket: Ticket, ran_for: Option<Millis>) {
+        self.running.retain(|t| *t != ticket);
+        self.waiting.retain(|w| w.ticket != ticket);
+        if let Some(ran_for) = ran_for {
+            self.run_ms = match self.run_ms {
+                0 => ran_for.0,
+                average => (average * 7 + ran_for.0) / 8,
+            };
+        }
+    }
+
+    /// How long a new request of this urgency would wait.
+    fn expected_wait(&self, urgency: Urgency) -> Millis {
+        let ahead = self.waiting.iter().filter(|w| w.wish.urgency <= urgency);
+        let ahead = ahead.count() as u64 + 1;
+        Millis(self.run_ms * ahead / self.max_running as u64)
+    }
+
+    /// A workspace that comes back starts level with the least served one that
+    /// waits, so that it cannot save up a claim to the endpoint.
+    fn welcome(&mut self, workspace: &str) {
+        let waiting = self.waiting.iter();
+        let floor = waiting.map(|w| self.served(&w.wish.workspace)).min();
+        let is_waiting = self.waiting.iter().any(|w| w.wish.workspace == workspace);
+        match self.find(workspace) {
+            Ok(at) if !is_waiting => {
+                let service = &mut self.services[at];
+                service.served = service.served.max(floor.unwrap_or_default());
+            }
+            Ok(_) => {}
+            Err(at) => {
+                let service = Service {
+                    workspace: workspace.into(),
+                    served: floor.unwrap_or_default(),
+                };
+                self.services.insert(at, service);
+            }
+        }
+    }
+
+    fn served(&self, workspace: &str) -> u64 {
+        match self.find(workspace) {
+            Ok(at) => self.services[at].served,
+            Err(_) => 0,
+        }
+    }
+
+    fn find(&self, workspace: &str) -> Result<usize, usize> {
+        self.services
+            .binary_search_by(|s| s.workspace.as_str().cmp(workspace))
+    }
+}
--- /dev/null
+++ b/src/agent/reports.rs
@@ -0,0 +1,56 @@
+//! The agent's reports to its gateways.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use quinn::SendStream;
+use tokio::time::sleep;
+
+use super::Agent;
+use crate::clock::Millis;
+use crate::transport::write_frame;
+use crate::wire::{AgentReport, AgentStatus};
+
+/// Time between two looks at what changed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two reports of nothing but load.
+const LOAD_INTERVAL: Millis = Millis(250);
+
+impl Agent {
+    /// Sends reports until the gateway goes away.
+    pub(super) async fn send_reports(self: Rc<Self>, mut tx: SendStream) {
+        let mut sent: Option<AgentStatus> = None;
+        let mut sent_at = Millis::ZERO;
+        loop {
+            let status = self.status();
+            let is_due = self.now().since(sent_at) >= LOAD_INTERVAL;
+            if let Some(report) = report_since(sent.as_ref(), &status, is_due) {
+                if write_frame(&mut tx, &report).await.is_err() {
+                    return;
+                }
+                sent = Some(status);
+                sent_at = self.now();
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+    }
+}
+
+/// What has to be told, given what was told last.
+fn report_since(
+    sent: Option<&AgentStatus>,
+    status: &AgentStatus,
+    is_due: bool,
+) -> Option<AgentReport> {
+    let Some(sent) = sent else {
+        return Some(AgentReport::Full(status.clone()));
+    };
+    let (running, waiting) = (status.running, status.waiting);
+    let mut with_load = sent.clone();
+    (with_load.running, with_load.waiting) = (running, waiting);
+    if with_load != *status {
+        return Some(AgentReport::Full(status.clone()));
+    }
+    let is_same_load = (sent.running, sent.waiting) == (running, waiting);
+    (is_due && !is_same_load).then_some(AgentReport::Load { running, waiting })
+}
--- /dev/null
+++ b/src/bin/rattanstall-agent/main.rs
@@ -0,0 +1,22 @@
+//! The agent's program: arguments and start-up.
+
+use std::process::ExitCode;
+
+use rattanstall::cli::{Invocation, parse_daemon_args, report};
+use rattanstall::error::Result;
+use rattanstall::{agent, logs, settings};
+
+const PROGRAM: &str = "rattanstall-agent";
+
+fn main() -> ExitCode {
+    match parse_daemon_args(PROGRAM, "Guards the endpoint beside it.") {
+        Invocation::Run(file) => report(PROGRAM, run(&file)),
+        Invocation::Exit(code) => code,
+    }
+}
+
+fn run(file: &std::path::Path) -> Result<()> {
+    let settings: settings::AgentSettings = settings::read(file)?;
+    let _log = logs::start(&settings.log)?;
+    agent::run(settings)
+}
--- /dev/null
+++ b/src/bin/rattanstall-gateway/main.rs
@@ -0,0 +1,22 @@
+//! The gateway's program: arguments and start-up.
+
+use std::process::ExitCode;
+
+use rattanstall::cli::{Invocation, parse_daemon_args, report};
+use rattanstall::error::Result;
+use rattanstall::{gateway, logs, settings};
+
+const PROGRAM: &str = "rattanstall-gateway";
+
+fn main() -> ExitCode {
+    match parse_daemon_args(PROGRAM, "Serves callers and carries the duties of control.") {
+        Invocation::Run(file) => report(PROGRAM, run(&file)),
+        Invocation::Exit(code) => code,
+    }
+}
+
+fn run(file: &std::path::Path) -> Result<()> {
+    let settings: settings::GatewaySettings = settings::read(file)?;
+    let _log = logs::start(&settings.log)?;
+    gateway::run(settings)
+}
--- /dev/null
+++ b/src/bin/rattanstallctl/commands.rs
@@ -0,0 +1,350 @@
+//! The commands of `rattanstallctl`, each with its options.
+
+use std::io::{IsTerminal as _, Write as _};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use rattanstall::config::Document;
+use rattanstall::error::{Error, Result};
+use rattanstall::operator::{Operator, ProcessState};
+use rattanstall::tls;
+use serde_json::{Value, json};
+
+/// How long `--wait` waits for all gateways.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One command.
+pub struct Command {
+    name: &'static str,
+    operands: &'static str,
+    about: &'static str,
+    run: fn(&Args) -> Result<()>,
+}
+
+/// A command's options and operands.
+pub struct Args {
+    matches: Matches,
+}
+
+const COMMANDS: &[Command] = &[
+    Command {
+        name: "validate",
+        operands: "FILE",
+        about: "checks a configuration file",
+        run: validate,
+    },
+    Command {
+        name: "diff",
+        operands: "FILE",
+        about: "shows what applying a file would change",
+        run: diff,
+    },
+    Command {
+        name: "apply",
+        operands: "FILE",
+        about: "puts a configuration file in force",
+        run: apply,
+    },
+    Command {
+        name: "key-create",
+        operands: "WORKSPACE",
+        about: "creates a key and shows its secret once",
+        run: key_create,
+    },
+    Command {
+        name: "key-withdraw",
+        operands: "DIGEST",
+        about: "withdraws a key, also from connected callers",
+        run: key_withdraw,
+    },
+    Command {
+        name: "status",
+        operands: "",
+        about: "shows every process and what is wrong with it",
+        run: status,
+    },
+    Command {
+        name: "dump",
+        operands: "ADDRESS",
+        about: "prints the state of one process",
+        run: dump,
+    },
+    Command {
+        name: "drain",
+        operands: "ADDRESS",
+        about: "shuts one process down gracefully",
+        run: drain,
+    },
+    Command {
+        name: "tls",
+        operands: "DIRECTORY",
+        about: "writes a new authority and process certificate",
+        run: create_tls,
+    },
+];
+
+/// The list of commands.
+pub fn overview() -> String {
+    let mut text = String::from("Usage: rattanstallctl COMMAND [OPTIONS]\n\nCommands:\n");
+    for command in COMMANDS {
+        let head = format!("{} {}", command.name, command.operands);
+        text.push_str(&format!("  {head:<24} {}\n", command.about));
+    }
+    text.push_str("\nEach command explains itself with --help.");
+    text
+}
+
+/// The command of this name.
+pub fn find(name: &str) -> Option<&'static Command> {
+    COMMANDS.iter().find(|command| command.name == name)
+}
+
+impl Command {
+    /// Reads the options; `None` if only help was asked for.
+    pub fn parse(&self, args: &[String]) -> std::result::Result<Option<Args>, String> {
+        let mut opts = Options::new();
+        opts.optopt(
+            "p",
+            "platform",
+            "the platform's key-value service",
+            "ADDRESS",
+        );
+        opts.optopt("i", "instances", "the platform's instance list", "ADDRESS");
+        opts.optopt(
+            "e",
+            "expect",
+            "the revision that must be in force",
+            "REVISION",
+        );
+        opts.optflag("w", "wait", "wait until all gateways have it in force");
+        opts.optflag("j", "json", "print JSON");
+        opts.optflag("h", "help", "print this help");
+        let brief = format!(
+            "{}\n\nUsage: rattanstallctl {} {} [OPTIONS]",
+            self.about, self.name, self.operands
+        );
+        let usage = opts.usage(&brief);
+        let matches = opts.parse(args).map_err(|e| format!("{e}\n\n{usage}"))?;
+        if matches.opt_present("help") {
+            println!("{usage}");
+            return Ok(None);
+        }
+        let wanted = usize::from(!self.operands.is_empty());
+        if matches.free.len() != wanted {
+            return Err(format!("{wanted} operand(s) expected\n\n{usage}"));
+        }
+        Ok(Some(Args { matches }))
+    }
+
+    /// Runs the command.
+    pub fn run(&self, args: &Args) -> Result<()> {
+        (self.run)(args)
+    }
+}
+
+impl Args {
+    fn operand(&self) -> &str {
+        self.matches.free.first().map_or("", String::as_str)
+    }
+
+    fn is_json(&self) -> bool {
+        self.matches.opt_present("json")
+    }
+
+    fn address(&self, option: &str) -> Result<Option<SocketAddr>> {
+        let Some(text) = self.matches.opt_str(option) else {
+            return Ok(None);
+        };
+        parse_address(&format!("--{option}"), &text).map(Some)
+    }
+
+    fn operator(&self) -> Result<Operator> {
+        let platform = self.address("platform")?;
+        let platform = platform.ok_or_else(|| usage_error("--platform", "is missing"))?;
+        Ok(Operator::new(platform, self.address("instances")?))
+    }
+
+    fn expected(&self) -> Result<Option<u64>> {
+        let Some(text) = self.matches.opt_str("expect") else {
+            return Ok(None);
+        };
+        let revision = text.parse();
+        let revision = revision.map_err(|_| usage_error("--expect", "must be a revision"))?;
+        Ok(Some(revision))
+    }
+}
+
+fn validate(args: &Args) -> Result<()> {
+    let document = Document::read(Path::new(args.operand()))?;
+    print(args, &json!({ "valid": true }), || {
+        format!(
+            "valid: {} workspaces, {} classes, {} routes, {} keys",
+            document.workspaces.len(),
+            document.classes.len(),
+            document.routes.len(),
+            document.keys.len()
+        )
+    });
+    Ok(())
+}
+
+fn diff(args: &Args) -> Result<()> {
+    let document = Document::read(Path::new(args.operand()))?;
+    let operator = args.operator()?;
+    let current = block_on(operator.current())??;
+    let change = current.document().diff(&document);
+    let text = serde_json::to_value(&change).unwrap_or_default();
+    let value = json!({ "revision": current.revision(), "change": text });
+    println!("{value:#}");
+    Ok(())
+}
+
+fn apply(args: &Args) -> Result<()> {
+    let document = Document::read(Path::new(args.operand()))?;
+    let operator = args.operator()?;
+    let revision = block_on(operator.apply(document, args.expected()?))??;
+    finish_change(args, &operator, revision, json!({ "revision": revision }))
+}
+
+fn key_create(args: &Args) -> Result<()> {
+    let operator = args.operator()?;
+    let key = block_on(operator.create_key(args.operand()))??;
+    let value = json!({
+        "secret": key.secret, "digest": key.digest, "revision": key.revision,
+    });
+    finish_change(args, &operator, key.revision, value)
+}
+
+fn key_withdraw(args: &Args) -> Result<()> {
+    let operator = args.operator()?;
+    let revision = block_on(operator.withdraw_key(args.operand()))??;
+    finish_change(args, &operator, revision, json!({ "revision": revision }))
+}
+
+fn finish_change(args: &Args, operator: &Operator, revision: u64, value: Value) -> Result<()> {
+    if args.matches.opt_present("wait") {
+        let is_terminal = std::io::stderr().is_terminal();
+        let show = |done, all| {
+            if is_terminal {
+                eprint!("\rin force on {done} of {all} gateways");
+                let _ = std::io::stderr().flush();
+            }
+        };
+        block_on(operator.wait(revision, WAIT_TIMEOUT, show))??;
+        if is_terminal {
+            eprintln!();
+        }
+    }
+    print(args, &value, || {
+        let fields = value.as_object().into_iter().flatten();
+        let lines: Vec<String> = fields
+            .map(|(name, value)| match value.as_str() {
+                Some(text) => format!("{name}: {text}"),
+                None => format!("{name}: {value}"),
+            })
+            .collect();
+        lines.join("\n")
+    });
+    Ok(())
+}
+
+fn status(args: &Args) -> Result<()> {
+    let operator = args.operator()?;
+    let states = block_on(operator.states())??;
+    let value = serde_json::to_value(&states).unwrap_or_default();
+    print(args, &value, || {
+        let lines: Vec<String> = states.iter().map(status_line).collect();
+        lines.join("\n")
+    });
+    Ok(())
+}
+
+fn status_line(process: &ProcessState) -> String {
+    let role = format!("{:?}", process.role).to_lowercase();
+    let problems = match &process.state {
+        None => vec!["does not answer".to_owned()],
+        Some(state) => problems_of(state),
+    };
+    let problems = match problems.is_empty() {
+        true => "ok".to_owned(),
+        false => problems.join(", "),
+    };
+    format!(
+        "{:<16} {role:<8} {:<12} {problems}",
+        process.name, process.zone
+    )
+}
+
+fn problems_of(state: &Value) -> Vec<String> {
+    let is = |field: &str, wanted: bool| state[field].as_bool() == Some(wanted);
+    let rules = [
+        (is("draining", true), "shutting down"),
+        (is("healthy", false), "its endpoint does not answer"),
+        (
+            is("knows_floor", false),
+            "takes no orders: the service did not answer yet",
+        ),
+        (
+            is("is_current", false),
+            "configuration not confirmed: keyed routes refused",
+        ),
+        (
+            is("may_charge", false),
+            "holds no right to charge: limited routes refused",
+        ),
+        (is("shares_active", false), "shares not active"),
+    ];
+    let broken = rules.iter().filter(|(is_broken, _)| *is_broken);
+    broken.map(|(_, text)| (*text).to_owned()).collect()
+}
+
+fn dump(args: &Args) -> Result<()> {
+    let address = parse_address("ADDRESS", args.operand())?;
+    let operator = Operator::new(address, None);
+    let state = block_on(operator.dump(address))??;
+    println!("{state:#}");
+    Ok(())
+}
+
+fn drain(args: &Args) -> Result<()> {
+    let address = parse_address("ADDRESS", args.operand())?;
+    block_on(Operator::new(address, None).drain(address))??;
+    print(args, &json!({ "draining": true }), || "draining".to_owned());
+    Ok(())
+}
+
+fn create_tls(args: &Args) -> Result<()> {
+    let dir = Path::new(args.operand());
+    std::fs::create_dir_all(dir)
+        .map_err(|e| Error::io(format!("creating {}", dir.display()), e))?;
+    tls::create_material(dir)
+}
+
+fn print(args: &Args, value: &Value, text: impl FnOnce() -> String) {
+    match args.is_json() {
+        true => println!("{value}"),
+        false => println!("{}", text()),
+    }
+}
+
+fn parse_address(key: &str, text: &str) -> Result<SocketAddr> {
+    let message = format!("\"{text}\" is not an address; allowed: IP:PORT");
+    text.parse().map_err(|_| usage_error(key, &message))
+}
+
+fn usage_error(key: &str, message: &str) -> Error {
+    Error::Config {
+        key: key.to_owned(),
+        message: message.to_owned(),
+    }
+}
+
+fn block_on<F: Future>(future: F) -> Result<F::Output> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Error::io("starting the runtime", e))?;
+    Ok(runtime.block_on(future))
+}
--- /dev/null
+++ b/src/bucket.rs
@@ -0,0 +1,174 @@
+//! Token buckets that enforce a workspace's rate and burst on one gateway.
+
+use std::sync::Mutex;
+
+use compact_str::CompactString;
+
+use crate::clock::Millis;
+
+/// The whole of a workspace's rate and burst, in parts per million.
+pub const WHOLE_PPM: u64 = 1_000_000;
+/// Fractions of a token that a bucket counts in.
+const MICROS: u128 = 1_000_000;
+
+/// A bucket that holds one gateway's share of a workspace's rate and burst.
+///
+/// The level never exceeds the share of the burst, and it grows by the share
+/// of the rate. Levels and shares that sum to at most the whole therefore
+/// bound what all gateways together let through in any window.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: u64,
+    burst: u64,
+    share_ppm: u64,
+    level_micros: u128,
+    updated: Millis,
+    used: u64,
+    short: u64,
+}
+
+/// What a bucket saw since the last reading.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// The workspace.
+    pub workspace: CompactString,
+    /// Tokens charged, less those refunded.
+    pub used: u64,
+    /// Tokens that were asked for and not there.
+    pub short: u64,
+    /// Tokens there now.
+    pub level: u64,
+}
+
+impl Bucket {
+    /// An empty bucket for a workspace of this rate (tokens a second) and burst (tokens).
+    pub fn new(now: Millis, rate: u64, burst: u64) -> Self {
+        Self {
+            rate,
+            burst,
+            share_ppm: 0,
+            level_micros: 0,
+            updated: now,
+            used: 0,
+            short: 0,
+        }
+    }
+
+    /// Takes tokens, or tells how long it takes until they are there.
+    pub fn charge(&mut self, now: Millis, tokens: u64) -> Result<(), Millis> {
+        self.accrue(now);
+        let wanted = u128::from(tokens) * MICROS;
+        if let Some(left) = self.level_micros.checked_sub(wanted) {
+            self.level_micros = left;
+            self.used += tokens;
+            return Ok(());
+        }
+        self.short = self.short.max(tokens);
+        Err(self.time_to_fill(wanted - self.level_micros))
+    }
+
+    /// Gives back tokens that were charged and not used.
+    pub fn refund(&mut self, now: Millis, tokens: u64) {
+        self.accrue(now);
+        self.used = self.used.saturating_sub(tokens);
+        self.add(u128::from(tokens) * MICROS);
+    }
+
+    /// Changes the workspace's rate and burst.
+    pub fn set_limits(&mut self, now: Millis, rate: u64, burst: u64) {
+        self.accrue(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.clip();
+    }
+
+    /// Changes the share; a smaller one loses the tokens above its burst.
+    pub fn set_share(&mut self, now: Millis, share_ppm: u64) {
+        self.accrue(now);
+        self.share_ppm = share_ppm;
+        self.clip();
+    }
+
+    /// Gives up part of the share and returns the tokens that go with it, in proportion.
+    pub fn split(&mut self, now: Millis, ppm: u64) -> u64 {
+        self.accrue(now);
+        let ppm = ppm.min(self.share_ppm);
+        let part = self.level_micros * u128::from(ppm) / u128::from(self.share_ppm.max(1));
+        let tokens = part / MICROS;
+        self.level_micros -= tokens * MICROS;
+        self.set_share(now, self.share_ppm - ppm);
+        tokens as u64
+    }
+
+    /// Adds tokens that came with a share.
+    pub fn deposit(&mut self, now: Millis, tokens: u64) {
+        self.accrue(now);
+        self.add(u128::from(tokens) * MICROS);
+    }
+
+    /// Reads and resets the counters of use.
+    pub fn take_usage(&mut self, now: Millis, workspace: &str) -> Usage {
+        self.accrue(now);
+        Usage {
+            workspace: workspace.into(),
+            used: std::mem::take(&mut self.used),
+            short: std::mem::take(&mut self.short),
+            level: (self.level_micros / MICROS) as u64,
+        }
+    }
+
+    /// The share in parts per million.
+    pub fn share_ppm(&self) -> u64 {
+        self.share_ppm
+    }
+
+    fn accrue(&mut self, now: Millis) {
+        let elapsed = now.since(self.updated);
+        self.updated = self.updated.max(now);
+        let grown = u128::from(self.rate) * u128::from(self.share_ppm) * u128::from(elapsed.0);
+        self.add(grown / 1_000);
+    }
+
+    fn add(&mut self, micros: u128) {
+        self.level_micros += micros;
+        self.clip();
+    }
+
+    fn clip(&mut self) {
+        let cap = u128::from(self.burst) * u128::from(self.share_ppm);
+        self.level_micros = self.level_micros.min(cap);
+    }
+
+    fn time_to_fill(&self, missing_micros: u128) -> Millis {
+        // A small share still learns the time at the whole rate: shares move.
+        let per_ms = u128::from(self.rate) * u128::from(WHOLE_PPM) / 1_000;
+        Millis(missing_micros.div_ceil(per_ms.max(1)) as u64)
+    }
+}
+
+/// One workspace's bucket, shared between threads.
+#[derive(Debug)]
+pub struct BucketCell {
+    /// The workspace.
+    pub workspace: CompactString,
+    bucket: Mutex<Bucket>,
+}
+
+impl BucketCell {
+    /// Wraps a bucket for its workspace.
+    pub fn new(workspace: CompactString, bucket: Bucket) -> Self {
+        Self {
+            workspace,
+            bucket: Mutex::new(bucket),
+        }
+    }
+
+    /// Works on the bucket while no other thread does.
+    pub fn with<T>(&self, work: impl FnOnce(&mut Bucket) -> T) -> T {
+        let mut bucket = match self.bucket.lock() {
+            Ok(guard) => guard,
+            Err(poisoned) => poisoned.into_inner(),
+        };
+        work(&mut bucket)
+    }
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,87 @@
+//! The library's error type.
+
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+use crate::code::Code;
+
+/// Everything that can go wrong outside the handling of one request.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// A settings or configuration file is not valid.
+    #[error("{file}: {message}", file = file.display())]
+    Settings {
+        /// The file that was read.
+        file: PathBuf,
+        /// The key, the value found and what is allowed.
+        message: String,
+    },
+    /// The configuration document breaks a rule.
+    #[error("{key}: {message}")]
+    Config {
+        /// The path of the offending key.
+        key: String,
+        /// What is allowed.
+        message: String,
+    },
+    /// Reading, writing, binding or connecting failed.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was being done.
+        what: String,
+        /// The operating system's reason.
+        source: std::io::Error,
+    },
+    /// TLS material could not be read or made.
+    #[error("TLS: {0}")]
+    Tls(String),
+    /// A connection between two of the system's processes failed.
+    #[error("peer connection: {0}")]
+    Peer(String),
+    /// A message could not be encoded or decoded.
+    #[error("message: {0}")]
+    Codec(#[from] postcard::Error),
+    /// The platform's service did not answer, or refused.
+    #[error("platform service: {0}")]
+    Platform(String),
+    /// An HTTP exchange failed.
+    #[error("HTTP: {0}")]
+    Http(String),
+    /// The configuration changed since the revision the operator expected.
+    #[error("conflict: expected revision {expected}, found {found}")]
+    Conflict {
+        /// The revision the change was based on.
+        expected: u64,
+        /// The revision in force.
+        found: u64,
+    },
+    /// A process answered with a result code.
+    #[error("{} {}", .0.number(), .0.text())]
+    Code(Code),
+}
+
+impl Error {
+    /// Wraps an I/O error with the action that failed.
+    pub fn io(what: impl Into<String>, source: std::io::Error) -> Self {
+        Self::Io {
+            what: what.into(),
+            source,
+        }
+    }
+
+    /// The result code that stands for this error.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::Settings { .. } | Self::Config { .. } | Self::Tls(_) => Code::BadSettings,
+            Self::Conflict { .. } => Code::Conflict,
+            Self::Platform(_) => Code::PlatformDown,
+            Self::Code(code) => *code,
+            Self::Io { .. } | Self::Peer(_) | Self::Codec(_) | Self::Http(_) => Code::NoEndpoint,
+        }
+    }
+}
+
+/// The library's result type.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,96 @@
+//! The gateway: callers' HTTP, keys, limits and routing, and every duty of control.
+//!
+//! One thread owns the control state ([`crate::control`]) and carries out its
+//! effects. Traffic threads read what it publishes and never lock it.
+
+mod answer;
+mod call;
+mod driver;
+mod duties;
+mod front;
+mod links;
+mod model;
+mod peers;
+mod plain;
+mod shared;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::mpsc;
+
+use crate::admin::Admin;
+use crate::claim::Claims;
+use crate::clock::Clock;
+use crate::error::{Error, Result};
+use crate::http::serve;
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::settings::GatewaySettings;
+use crate::tls::Identity;
+use crate::transport::bind;
+use crate::wire::Member;
+
+use driver::Driver;
+use front::Front;
+use links::Links;
+use peers::Peers;
+use shared::Shared;
+
+/// Threads that drive connections to peers.
+const IO_THREADS: usize = 2;
+/// Time between two looks at whether a stopping gateway is done.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Runs a gateway until it is told to stop and its last request is answered.
+pub fn run(settings: GatewaySettings) -> Result<()> {
+    let io = io_runtime()?;
+    let identity = Identity::load(&settings.tls)?;
+    let metrics = Arc::new(Metrics::new("rattanstall-gateway")?);
+    let platform = Platform::new(settings.platform);
+    let me = Member {
+        name: settings.name.clone(),
+        boot: rand::random(),
+    };
+    let (events, event_rx) = mpsc::unbounded_channel();
+    let (calls, call_rx) = mpsc::unbounded_channel();
+    let guard = io.enter();
+    let socket = bind(settings.peer, &identity)?;
+    let claims = Claims::start(platform.clone());
+    let clock = Clock::system();
+    let shared = Arc::new(Shared::new(clock, claims, metrics.clone()));
+    let links = Links::new(socket.clone(), shared.clone(), events.clone());
+    let peers = Peers::new(socket.clone(), me.clone(), events.clone());
+    drop(guard);
+    let admin = Admin::start(settings.admin, calls.clone(), metrics)?;
+    let front = Front::new(shared.clone());
+    let server = serve(settings.listen, settings.threads, Arc::new(front))?;
+    log::info!("gateway {} is up", settings.name);
+    let driver = Driver {
+        settings: settings.clone(),
+        me,
+        platform,
+        shared: shared.clone(),
+        links,
+        peers,
+        events,
+        calls,
+    };
+    driver.run(event_rx, call_rx)?;
+    server.stop();
+    admin.stop();
+    socket.close(0u32.into(), b"stopped");
+    io.block_on(socket.wait_idle());
+    log::info!("gateway {} stopped", settings.name);
+    Ok(())
+}
+
+fn io_runtime() -> Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(IO_THREADS)
+        .thread_name("peer-io")
+        .enable_all()
+        .build()
+        .map_err(|e| Error::io("starting the runtime", e))
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,233 @@
+//! Answers to callers: refusals, whole answers and streams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::stream;
+use http::StatusCode;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::call::OpenAnswer;
+use super::front::Caller;
+use super::model::Charge;
+use super::shared::{OpenRequest, Shared};
+use crate::clock::Millis;
+use crate::code::{Code, Ran};
+use crate::error::Result;
+use crate::http::{Response, json as json_response, set_header, streamed};
+use crate::wire::{Reply, RequestId};
+
+/// Time between two comments in a stream that has nothing else to send.
+/// They also notice a caller who has gone.
+const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
+const KEEP_ALIVE_COMMENT: &[u8] = b": keep-alive\n\n";
+
+/// Why a request gets no answer from an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The result code.
+    pub code: Code,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back.
+    pub retry_after: Option<Millis>,
+    /// The request whose outcome may be asked for, if not this one.
+    pub about: Option<RequestId>,
+}
+
+impl Refusal {
+    /// A refusal of a request that certainly did not run.
+    pub fn not_run(code: Code) -> Self {
+        Self {
+            code,
+            ran: Ran::No,
+            retry_after: None,
+            about: None,
+        }
+    }
+
+    /// The same with the time to come back.
+    pub fn retry_after(self, retry_after: Millis) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            ..self
+        }
+    }
+
+    /// A failure of a request that may have run, or did.
+    pub fn failed(code: Code, ran: Ran) -> Self {
+        Self {
+            ran,
+            ..Self::not_run(code)
+        }
+    }
+
+    /// The response in the shape that OpenAI's clients expect.
+    pub fn into_response(self, request: RequestId) -> Response {
+        let body = json!({ "error": self.body(request) });
+        let mut res = json_response(self.code.status(), &body);
+        set_header(&mut res, "x-ran", self.ran.as_str());
+        set_header(&mut res, "x-result-code", &self.code.number().to_string());
+        if let Some(retry_after) = self.retry_after {
+            let secs = retry_after.as_secs_ceil().max(1).to_string();
+            set_header(&mut res, "retry-after", &secs);
+            set_header(&mut res, "retry-after-ms", &retry_after.0.to_string());
+        }
+        res
+    }
+
+    fn body(self, request: RequestId) -> serde_json::Value {
+        json!({
+            "message": self.code.text(),
+            "type": self.code.kind(),
+            "code": self.code.number(),
+            "ran": self.ran,
+            "request_id": self.about.unwrap_or(request).to_string(),
+        })
+    }
+
+    /// The refusal as an event of a stream that has begun.
+    fn into_event(self, request: RequestId) -> Bytes {
+        let body = json!({ "error": self.body(request) });
+        Bytes::from(format!("data: {body}\n\n"))
+    }
+}
+
+/// What a streamed answer belongs to.
+pub struct StreamInfo {
+    /// The request.
+    pub request: RequestId,
+    /// Who sent it.
+    pub caller: Caller,
+    /// Its class.
+    pub class: CompactString,
+    /// When it arrived.
+    pub arrived: Millis,
+}
+
+/// A streamed answer on its way to the caller.
+pub struct Streaming {
+    shared: Arc<Shared>,
+    info: StreamInfo,
+    answer: OpenAnswer,
+    charge: Charge,
+    _open: OpenRequest,
+    changed: watch::Receiver<u64>,
+    state: StreamState,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StreamState {
+    Open,
+    /// The error event was sent; the connection is to be cut.
+    Failed,
+    Ended,
+}
+
+enum Step {
+    Chunk(Bytes),
+    End,
+    Fail(Refusal),
+}
+
+impl Streaming {
+    /// Prepares a stream.
+    pub fn new(
+        shared: Arc<Shared>,
+        info: StreamInfo,
+        answer: OpenAnswer,
+        charge: Charge,
+        open: OpenRequest,
+    ) -> Self {
+        let changed = shared.subscribe();
+        Self {
+            shared,
+            info,
+            answer,
+            charge,
+            _open: open,
+            changed,
+            state: StreamState::Open,
+        }
+    }
+
+    /// The response that sends the answer part by part. An answer that is cut
+    /// ends in an error event and a broken connection, never like a whole one.
+    pub fn into_response(self, status: StatusCode, content_type: &str) -> Response {
+        let parts = stream::unfold(self, |mut streaming| async move {
+            let part = streaming.next_part().await?;
+            Some((part, streaming))
+        });
+        streamed(status, content_type, parts)
+    }
+
+    async fn next_part(&mut self) -> Option<std::result::Result<Bytes, std::io::Error>> {
+        match self.state {
+            StreamState::Ended => return None,
+            StreamState::Failed => {
+                self.state = StreamState::Ended;
+                return Some(Err(std::io::Error::other("answer cut")));
+            }
+            StreamState::Open => {}
+        }
+        match self.step().await {
+            Step::Chunk(chunk) => {
+                self.charge.observe(&chunk);
+                Some(Ok(chunk))
+            }
+            Step::End => {
+                self.state = StreamState::Ended;
+                self.finish(0);
+                None
+            }
+            Step::Fail(refusal) => {
+                self.state = StreamState::Failed;
+                self.finish(refusal.code.number());
+                Some(Ok(refusal.into_event(self.info.request)))
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        loop {
+            if !self.info.caller.is_admitted(&self.shared) {
+                return Step::Fail(Refusal::failed(Code::KeyWithdrawn, Ran::Yes));
+            }
+            tokio::select! {
+                reply = self.answer.frames.next::<Reply>() => return self.to_step(reply),
+                _ = self.changed.changed() => {}
+                _ = sleep(KEEP_ALIVE) => {
+                    return Step::Chunk(Bytes::from_static(KEEP_ALIVE_COMMENT));
+                }
+            }
+        }
+    }
+
+    fn to_step(&self, reply: Result<Option<Reply>>) -> Step {
+        match reply {
+            Ok(Some(Reply::Chunk(chunk))) => Step::Chunk(chunk),
+            Ok(Some(Reply::End { request })) if request == self.info.request => Step::End,
+            Ok(Some(Reply::Failed { code, ran, .. })) => Step::Fail(Refusal::failed(code, ran)),
+            Ok(Some(_)) => Step::Fail(Refusal::failed(Code::CrossedAnswer, Ran::Yes)),
+            Ok(None) | Err(_) => Step::Fail(Refusal::failed(Code::AnswerCut, Ran::Yes)),
+        }
+    }
+
+    fn finish(&self, code: u16) {
+        let workspace = self.info.caller.workspace_name();
+        let took = self.shared.now().since(self.info.arrived);
+        let metrics = &self.shared.metrics;
+        metrics.count_request(workspace, &self.info.class, code);
+        metrics.record_duration(&self.info.class, took);
+        log::info!(
+            "request {} workspace {workspace} class {} code {code} in {} ms",
+            self.info.request,
+            self.info.class,
+            took.0
+        );
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,141 @@
+//! Sending one call to an agent, and to another one if it was certainly not run.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use http::StatusCode;
+
+use super::answer::Refusal;
+use super::links::{CountedCall, Link};
+use super::shared::Shared;
+use crate::clock::Millis;
+use crate::code::{Code, Ran};
+use crate::route::{Candidate, can_serve, choose};
+use crate::transport::FrameReader;
+use crate::wire::{Call, Hello, Reply};
+
+/// Agents that one request may be offered to.
+const MAX_TRIES: usize = 4;
+/// When to come back if no endpoint is there.
+const NO_ENDPOINT_RETRY: Millis = Millis(1_000);
+
+/// An answer that has begun.
+pub struct OpenAnswer {
+    /// The endpoint's status.
+    pub status: StatusCode,
+    /// The answer's media type.
+    pub content_type: CompactString,
+    /// The rest of the answer.
+    pub frames: FrameReader,
+    /// Keeps the stream's other half open; dropping it tells the agent to stop.
+    _tx: quinn::SendStream,
+    /// Counts the call at its agent.
+    _counted: CountedCall,
+}
+
+enum Attempt {
+    Answered(OpenAnswer),
+    /// Certainly not run; another agent may be tried.
+    NotRun(Refusal),
+    /// It may have run.
+    Failed(Refusal),
+}
+
+/// Sends a call to the best agent, and on to others while it is safe.
+pub async fn send(
+    shared: &Arc<Shared>,
+    mut call: Call,
+    due: Millis,
+) -> Result<OpenAnswer, Refusal> {
+    let mut tried: Vec<CompactString> = Vec::new();
+    let mut last = no_endpoint();
+    while tried.len() < MAX_TRIES {
+        let Some(link) = pick(shared, &call, &tried) else {
+            break;
+        };
+        if !tried.is_empty() && !shared.take_retry() {
+            break;
+        }
+        tried.push(link.name.clone());
+        let left = due.since(shared.now());
+        if left == Millis::ZERO {
+            return Err(Refusal::not_run(Code::TargetMissed).retry_after(NO_ENDPOINT_RETRY));
+        }
+        call.first_token_in_ms = left.0;
+        match attempt(&link, &call).await {
+            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::NotRun(refusal) => last = refusal,
+            Attempt::Failed(refusal) if call.idempotent => last = refusal,
+            Attempt::Failed(refusal) => return Err(refusal),
+        }
+        log::info!(
+            "request {}: {} refused with {}",
+            call.request,
+            link.name,
+            last.code.number()
+        );
+    }
+    Err(last)
+}
+
+fn pick(shared: &Shared, call: &Call, tried: &[CompactString]) -> Option<Arc<Link>> {
+    let view = shared.view();
+    let links = shared.links();
+    let link_of = |name: &str| {
+        let at = links.binary_search_by(|l| l.name.as_str().cmp(name));
+        at.ok().map(|at| &links[at])
+    };
+    let candidates: Vec<Candidate> = view
+        .agents
+        .iter()
+        .filter(|status| can_serve(status, &call.target))
+        .filter_map(|status| {
+            let in_flight = link_of(&status.name)?.in_flight();
+            Some(Candidate { status, in_flight })
+        })
+        .collect();
+    let chosen = choose(&candidates, tried, rand::random())?;
+    link_of(&chosen.name).cloned()
+}
+
+async fn attempt(link: &Arc<Link>, call: &Call) -> Attempt {
+    if link.is_closed() {
+        return Attempt::NotRun(no_endpoint());
+    }
+    let counted = link.count_call();
+    // From here on the agent may see the call, whatever error follows.
+    let unknown = Refusal::failed(Code::OutcomeUnknown, Ran::Unknown);
+    let Ok((tx, mut frames)) = link.open(&Hello::Call(call.clone())).await else {
+        return Attempt::Failed(unknown);
+    };
+    let reply = match frames.next::<Reply>().await {
+        Ok(Some(reply)) => reply,
+        Ok(None) | Err(_) => return Attempt::Failed(unknown),
+    };
+    match reply {
+        Reply::Refused {
+            request,
+            code,
+            retry_after_ms,
+        } if request == call.request => {
+            Attempt::NotRun(Refusal::not_run(code).retry_after(Millis(retry_after_ms)))
+        }
+        Reply::Head {
+            request,
+            status,
+            content_type,
+        } if request == call.request => Attempt::Answered(OpenAnswer {
+            status: StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY),
+            content_type,
+            frames,
+            _tx: tx,
+            _counted: counted,
+        }),
+        Reply::Failed { code, ran, .. } => Attempt::Failed(Refusal::failed(code, ran)),
+        _ => Attempt::Failed(Refusal::failed(Code::CrossedAnswer, Ran::Unknown)),
+    }
+}
+
+fn no_endpoint() -> Refusal {
+    Refusal::not_run(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY)
+}
--- /dev/null
+++ b/src/gateway/duties.rs
@@ -0,0 +1,334 @@
+//! Calls to the platform that the control thread makes in the background.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::shared::Shared;
+use crate::agent::LEADER_KEY;
+use crate::clock::Millis;
+use crate::configuration::{read_all, read_head};
+use crate::control::Event;
+use crate::error::Result;
+use crate::escrow::{LEASE_TTL_S, ShareEvent, Term};
+use crate::instances::InstanceList;
+use crate::platform::{LeaseId, Platform, Txn};
+use crate::settings::GatewaySettings;
+use crate::weights::WeightStore;
+use crate::wire::{Fence, Member};
+
+/// The key of the term that tells who holds shares.
+const TERM_KEY: &str = "limits/term";
+/// The prefix of the holders' leased keys.
+const HOLDER_PREFIX: &str = "limits/holder/";
+/// Time between two renewals of the lease.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time between two attempts after a failure.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// How long a leader relies on its lease after it asked for the renewal.
+const LEADER_RIGHT: Millis = Millis(4_000);
+/// Time between two reads of the instance list.
+const INSTANCES_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reads of the weight store's catalogue.
+const CATALOGUE_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Background calls to the platform. Only the control thread uses it.
+pub struct Duties {
+    platform: Platform,
+    instances: InstanceList,
+    weights: WeightStore,
+    me: Member,
+    events: UnboundedSender<Event>,
+    shared: Arc<Shared>,
+    lease: Cell<Option<LeaseId>>,
+    leader: Rc<Cell<Option<Leadership>>>,
+    resigned: Cell<bool>,
+    reading: RefCell<Reading>,
+}
+
+#[derive(Clone, Copy)]
+struct Leadership {
+    fence: Fence,
+    until: Millis,
+}
+
+/// Reads on their way, so that a slow service is not asked again meanwhile.
+#[derive(Default)]
+struct Reading {
+    head: bool,
+    log: bool,
+    shares: bool,
+}
+
+/// Tells whether this gateway is still the placement leader.
+pub struct LeaderGuard {
+    leader: Rc<Cell<Option<Leadership>>>,
+    shared: Arc<Shared>,
+}
+
+impl LeaderGuard {
+    /// Whether the lease still covers this moment.
+    pub fn is_leader(&self) -> bool {
+        let now = self.shared.now();
+        self.leader.get().is_some_and(|l| now < l.until)
+    }
+}
+
+impl Duties {
+    /// Nothing runs before `start`.
+    pub fn new(
+        platform: Platform,
+        settings: &GatewaySettings,
+        me: Member,
+        events: UnboundedSender<Event>,
+        shared: Arc<Shared>,
+    ) -> Self {
+        Self {
+            platform,
+            instances: InstanceList::new(settings.instances),
+            weights: WeightStore::new(settings.weights),
+            me,
+            events,
+            shared,
+            lease: Cell::new(None),
+            leader: Rc::default(),
+            resigned: Cell::new(false),
+            reading: RefCell::default(),
+        }
+    }
+
+    /// Starts the duties that run on their own.
+    pub fn start(self: Rc<Self>) {
+        spawn_local(self.clone().keep_lease());
+        spawn_local(self.clone().poll_instances());
+        spawn_local(self.poll_catalogue());
+    }
+
+    /// Tells orders on their way whether they may still be sent.
+    pub fn leader_guard(&self) -> LeaderGuard {
+        LeaderGuard {
+            leader: self.leader.clone(),
+            shared: self.shared.clone(),
+        }
+    }
+
+    /// Takes on no new duty.
+    pub fn resign(&self) {
+        self.resigned.set(true);
+        self.leader.set(None);
+        self.send(Event::Leader(None));
+    }
+
+    /// Gives the lease back, and with it all duties.
+    pub async fn give_up_leases(&self) {
+        if let Some(lease) = self.lease.take() {
+            let _ = self.platform.revoke(lease).await;
+        }
+    }
+
+    /// Reads the configuration's head.
+    pub async fn read_head(self: Rc<Self>) {
+        if std::mem::replace(&mut self.reading.borrow_mut().head, true) {
+            return;
+        }
+        let sent_at = self.shared.now();
+        let read = read_head(&self.platform).await;
+        self.reading.borrow_mut().head = false;
+        self.send_result(read.map(|revision| Event::Head { sent_at, revision }));
+    }
+
+    /// Reads the configuration.
+    pub async fn read_log(self: Rc<Self>) {
+        if std::mem::replace(&mut self.reading.borrow_mut().log, true) {
+            return;
+        }
+        let sent_at = self.shared.now();
+        let read = read_all(&self.platform).await;
+        self.reading.borrow_mut().log = false;
+        self.send_result(read.map(|(snapshot, entries)| Event::Log {
+            sent_at,
+            snapshot,
+            entries,
+        }));
+    }
+
+    /// Reads who holds shares.
+    pub async fn read_shares(self: Rc<Self>) {
+        if std::mem::replace(&mut self.reading.borrow_mut().shares, true) {
+            return;
+        }
+        let sent_at = self.shared.now();
+        let read = self.platform.read_prefix("limits/").await;
+        self.reading.borrow_mut().shares = false;
+        self.send_result(read.map(|read| {
+            let mut term = Term::default();
+            let mut modified = 0;
+            let mut leased = Vec::new();
+            for item in read.items {
+                if item.key == TERM_KEY {
+                    term = serde_json::from_slice(&item.value).unwrap_or_default();
+                    modified = item.modified;
+                } else if let Some(holder) = item.key.strip_prefix(HOLDER_PREFIX) {
+                    leased.extend(parse_holder(holder));
+                }
+            }
+            leased.sort();
+            Event::Share(ShareEvent::Read {
+                sent_at,
+                term,
+                modified,
+                leased,
+            })
+        }));
+    }
+
+    /// Writes the next term if the present one is still in force.
+    pub async fn write_term(self: Rc<Self>, term: Term, modified: u64) {
+        let Ok(value) = serde_json::to_vec(&term) else {
+            return;
+        };
+        let txn = match modified {
+            0 => Txn::new().if_absent(TERM_KEY),
+            _ => Txn::new().if_modified_at(TERM_KEY, modified),
+        };
+        let written = self.platform.run(&txn.put(TERM_KEY, &value)).await;
+        log::info!("share term {}: {written:?}", term.number);
+        self.read_shares().await;
+    }
+
+    /// Holds one lease for all duties and renews it.
+    async fn keep_lease(self: Rc<Self>) {
+        loop {
+            let sent_at = self.shared.now();
+            let renewed = match self.lease.get() {
+                Some(lease) => self.platform.renew(lease).await,
+                None => self.acquire().await.map(|()| true),
+            };
+            match renewed {
+                Ok(true) => {
+                    self.send(Event::Share(ShareEvent::Renewed { sent_at }));
+                    self.campaign(sent_at).await;
+                    sleep(RENEW_INTERVAL).await;
+                }
+                Ok(false) => {
+                    self.lease.set(None);
+                    self.set_leader(None);
+                }
+                Err(error) => {
+                    log::warn!("lease: {error}");
+                    self.send(Event::PlatformFailed);
+                    self.check_leadership();
+                    sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    async fn acquire(&self) -> Result<()> {
+        let lease = self.platform.grant(LEASE_TTL_S).await?;
+        let key = format!("{HOLDER_PREFIX}{}/{}", self.me.name, self.me.boot);
+        let txn = Txn::new().put_leased(&key, b"", Some(lease));
+        self.platform.run(&txn).await?;
+        self.lease.set(Some(lease));
+        Ok(())
+    }
+
+    /// Becomes the placement leader if there is none, or stays it.
+    async fn campaign(&self, sent_at: Millis) {
+        let Some(lease) = self.lease.get() else {
+            return;
+        };
+        if self.resigned.get() {
+            return;
+        }
+        let Ok(read) = self.platform.read(LEADER_KEY).await else {
+            return self.check_leadership();
+        };
+        let mine = self.me.boot.to_string();
+        let until = sent_at + LEADER_RIGHT;
+        match read.items.first() {
+            Some(item) if item.value == mine.as_bytes() => {
+                let fence = Fence(item.created);
+                self.set_leader(Some(Leadership { fence, until }));
+            }
+            Some(_) => self.set_leader(None),
+            None => {
+                let txn = Txn::new().if_absent(LEADER_KEY).put_leased(
+                    LEADER_KEY,
+                    mine.as_bytes(),
+                    Some(lease),
+                );
+                if let Ok(outcome) = self.platform.run(&txn).await
+                    && outcome.succeeded
+                {
+                    let fence = Fence(outcome.revision);
+                    self.set_leader(Some(Leadership { fence, until }));
+                }
+            }
+        }
+    }
+
+    fn check_leadership(&self) {
+        if let Some(leader) = self.leader.get()
+            && self.shared.now() >= leader.until
+        {
+            self.set_leader(None);
+        }
+    }
+
+    fn set_leader(&self, leader: Option<Leadership>) {
+        let fence = leader.map(|l| l.fence);
+        let before = self.leader.replace(leader).map(|l| l.fence);
+        if fence != before {
+            log::info!("placement leader: {fence:?}");
+            self.send(Event::Leader(fence));
+        }
+    }
+
+    async fn poll_instances(self: Rc<Self>) {
+        loop {
+            match self.instances.read().await {
+                Ok(instances) => self.send(Event::Instances(instances)),
+                Err(error) => log::warn!("instance list: {error}"),
+            }
+            sleep(INSTANCES_INTERVAL).await;
+        }
+    }
+
+    async fn poll_catalogue(self: Rc<Self>) {
+        loop {
+            match self.weights.read().await {
+                Ok(catalogue) => self.send(Event::Catalogue(catalogue)),
+                Err(error) => log::warn!("weight store: {error}"),
+            }
+            sleep(CATALOGUE_INTERVAL).await;
+        }
+    }
+
+    fn send(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+
+    fn send_result(&self, event: Result<Event>) {
+        match event {
+            Ok(event) => self.send(event),
+            Err(error) => {
+                log::warn!("{error}");
+                self.send(Event::PlatformFailed);
+            }
+        }
+    }
+}
+
+fn parse_holder(holder: &str) -> Option<Member> {
+    let (name, boot) = holder.split_once('/')?;
+    Some(Member {
+        name: name.into(),
+        boot: boot.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,208 @@
+//! Callers' HTTP: from the request line to the part of the system that serves it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use super::answer::Refusal;
+use super::model::serve_model;
+use super::plain::{PlainCall, serve_outcome, serve_plain};
+use super::shared::{OpenRequest, Shared};
+use crate::clock::Millis;
+use crate::code::Code;
+use crate::config::{Access, Route, Workspace, digest_of, find};
+use crate::http::{BodyProblem, Request, Respond, Response, json as json_response, set_header};
+use crate::wire::RequestId;
+
+/// The largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 2 << 20;
+/// How long a body may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When to come back to a gateway that cannot confirm its configuration.
+const STALE_RETRY: Millis = Millis(1_000);
+/// The path of requests to models.
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// The prefix of questions about an outcome.
+const OUTCOME_PREFIX: &str = "/v1/requests/";
+
+/// Who sent a request.
+#[derive(Clone, Debug)]
+pub enum Caller {
+    /// Anyone, on a route open to all.
+    Open,
+    /// The holder of a key.
+    Keyed {
+        /// The key's digest.
+        digest: CompactString,
+        /// The key's workspace.
+        workspace: Arc<Workspace>,
+    },
+}
+
+impl Caller {
+    /// The workspace's name; empty for open routes.
+    pub fn workspace_name(&self) -> &str {
+        match self {
+            Self::Open => "",
+            Self::Keyed { workspace, .. } => &workspace.name,
+        }
+    }
+
+    /// Whether the caller's key is still in force, as far as this gateway may tell.
+    pub fn is_admitted(&self, shared: &Shared) -> bool {
+        let Self::Keyed { digest, workspace } = self else {
+            return true;
+        };
+        let view = shared.view();
+        let key = find(&view.document.keys, digest);
+        key.is_some_and(|key| key.workspace == workspace.name)
+    }
+}
+
+/// Answers callers.
+pub struct Front {
+    shared: Arc<Shared>,
+}
+
+impl Front {
+    /// A front over the gateway's shared state.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn serve(&self, request: RequestId, mut req: Request) -> Result<Response, Refusal> {
+        let open = self.shared.open_request();
+        let path = req.uri.path().to_owned();
+        if path == "/healthz" {
+            return Ok(self.health());
+        }
+        if path == CHAT_PATH {
+            return self.serve_chat(request, req, open).await;
+        }
+        if path == "/v1/models" {
+            self.admit(&req)?;
+            return Ok(self.list_models());
+        }
+        if let Some(id) = path.strip_prefix(OUTCOME_PREFIX) {
+            let caller = self.admit(&req)?;
+            let id = id.parse().map_err(|_| Refusal::not_run(Code::NoOutcome))?;
+            return serve_outcome(&self.shared, caller.workspace_name(), id).await;
+        }
+        let view = self.shared.view();
+        let route = view.document.route_of(&path);
+        let route = route.ok_or(Refusal::not_run(Code::NoRoute))?;
+        let caller = self.admit_to(route, &req)?;
+        let body = read_body(&mut req).await?;
+        let target = req.uri.path_and_query().map_or("/", |p| p.as_str());
+        let asked = PlainCall {
+            request,
+            caller,
+            class: req.header("x-class"),
+            route,
+            method: req.method.as_str(),
+            path: target,
+            content_type: req.header("content-type").unwrap_or("application/json"),
+            idempotency_key: req.header("idempotency-key"),
+            body,
+        };
+        serve_plain(&self.shared, asked).await
+    }
+
+    async fn serve_chat(
+        &self,
+        request: RequestId,
+        mut req: Request,
+        open: OpenRequest,
+    ) -> Result<Response, Refusal> {
+        if req.method != Method::POST {
+            return Err(Refusal::not_run(Code::BadMethod));
+        }
+        let caller = self.admit(&req)?;
+        let body = read_body(&mut req).await?;
+        let class = req.header("x-class");
+        serve_model(&self.shared, request, caller, class, &body, open).await
+    }
+
+    /// Finds the workspace of the caller's key.
+    fn admit(&self, req: &Request) -> Result<Caller, Refusal> {
+        if self.shared.now() > self.shared.keyed_until() {
+            return Err(Refusal::not_run(Code::ConfigurationStale).retry_after(STALE_RETRY));
+        }
+        let bad_key = Refusal::not_run(Code::BadKey);
+        let bearer = req.header("authorization").ok_or(bad_key)?;
+        let key = bearer.strip_prefix("Bearer ").ok_or(bad_key)?;
+        let digest = digest_of(key.as_bytes());
+        let view = self.shared.view();
+        let workspace = view.document.workspace_of(&digest).ok_or(bad_key)?;
+        Ok(Caller::Keyed {
+            workspace: Arc::new(workspace.clone()),
+            digest,
+        })
+    }
+
+    fn admit_to(&self, route: &Route, req: &Request) -> Result<Caller, Refusal> {
+        if route.access == Access::Open {
+            return Ok(Caller::Open);
+        }
+        let caller = self.admit(req)?;
+        let name = caller.workspace_name();
+        if route.workspaces.is_empty() || route.workspaces.iter().any(|w| w == name) {
+            return Ok(caller);
+        }
+        Err(Refusal::not_run(Code::RouteDenied))
+    }
+
+    fn health(&self) -> Response {
+        let status = match self.shared.is_draining() {
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::OK,
+        };
+        json_response(status, &json!({ "draining": self.shared.is_draining() }))
+    }
+
+    fn list_models(&self) -> Response {
+        let view = self.shared.view();
+        let models: Vec<Value> = view
+            .catalogue
+            .models
+            .iter()
+            .map(|m| json!({ "id": m.name, "object": "model" }))
+            .collect();
+        json_response(StatusCode::OK, &json!({ "object": "list", "data": models }))
+    }
+}
+
+impl Respond for Front {
+    async fn respond(self: Arc<Self>, req: Request) -> Response {
+        let request = RequestId::random();
+        let mut res = match self.serve(request, req).await {
+            Ok(res) => res,
+            Err(refusal) => {
+                let (code, ran) = (refusal.code.number(), refusal.ran.as_str());
+                log::info!("request {request} refused with {code}, ran {ran}");
+                self.shared.metrics.count_request("", "", code);
+                refusal.into_response(request)
+            }
+        };
+        set_header(&mut res, "x-request-id", &request.to_string());
+        if self.shared.is_draining() {
+            set_header(&mut res, "connection", "close");
+        }
+        res
+    }
+}
+
+async fn read_body(req: &mut Request) -> Result<Bytes, Refusal> {
+    let body = req.read_body(MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    body.map_err(|problem| {
+        Refusal::not_run(match problem {
+            BodyProblem::TooLarge => Code::BodyTooLarge,
+            BodyProblem::Timeout => Code::BodyTimeout,
+            BodyProblem::Broken => Code::BadBody,
+        })
+    })
+}
--- /dev/null
+++ b/src/gateway/links.rs
@@ -0,0 +1,177 @@
+//! Connections to agents.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use compact_str::CompactString;
+use quinn::{Connection, Endpoint};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+use super::shared::Shared;
+use crate::control::Event;
+use crate::error::{Error, Result};
+use crate::instances::{Instance, Role};
+use crate::transport::{FrameReader, connect, write_frame};
+use crate::wire::{AgentReport, AgentStatus, Hello};
+
+/// Time between two attempts to reach an agent.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A connection to one agent.
+pub struct Link {
+    /// The agent.
+    pub name: CompactString,
+    connection: Connection,
+    in_flight: AtomicU32,
+}
+
+impl Link {
+    /// Opens a stream and sends the first message on it.
+    pub async fn open(&self, hello: &Hello) -> Result<(quinn::SendStream, FrameReader)> {
+        let opened = self.connection.open_bi().await;
+        let (mut tx, rx) = opened.map_err(|e| Error::Peer(e.to_string()))?;
+        write_frame(&mut tx, hello).await?;
+        Ok((tx, FrameReader::new(rx)))
+    }
+
+    /// Whether the connection can certainly carry nothing any more.
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Calls of this gateway at the agent.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call at the agent until the guard is dropped.
+    pub fn count_call(self: &Arc<Self>) -> CountedCall {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        CountedCall(self.clone())
+    }
+}
+
+/// Counts a call at an agent until it is dropped.
+pub struct CountedCall(Arc<Link>);
+
+impl Drop for CountedCall {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Keeps one connection to each agent of the instance list.
+pub struct Links {
+    socket: Endpoint,
+    shared: Arc<Shared>,
+    events: UnboundedSender<Event>,
+    io: Handle,
+    keepers: Vec<Keeper>,
+}
+
+struct Keeper {
+    name: CompactString,
+    ip: IpAddr,
+    port: u16,
+    task: AbortHandle,
+}
+
+impl Links {
+    /// Must be created within the runtime that is to drive the connections.
+    pub fn new(socket: Endpoint, shared: Arc<Shared>, events: UnboundedSender<Event>) -> Self {
+        Self {
+            socket,
+            shared,
+            events,
+            io: Handle::current(),
+            keepers: Vec::new(),
+        }
+    }
+
+    /// Starts and ends connections so that they match the instance list.
+    pub fn reconcile(&mut self, instances: &[Instance]) {
+        let is_agent = |i: &&Instance| i.role == Role::Agent;
+        let agents: Vec<&Instance> = instances.iter().filter(is_agent).collect();
+        let is_kept = |k: &Keeper| {
+            let mut agents = agents.iter();
+            agents.any(|i| i.name == k.name && i.ip == k.ip && i.peer_port == k.port)
+        };
+        for keeper in self.keepers.extract_if(.., |k| !is_kept(k)) {
+            keeper.task.abort();
+            // Requests on their way keep the connection; new ones no longer find it.
+            let links = self.shared.links();
+            if let Some(link) = links.iter().find(|link| link.name == keeper.name) {
+                self.shared.remove_link(link);
+            }
+            let _ = self.events.send(Event::AgentLost(keeper.name));
+        }
+        for agent in agents {
+            if !self.keepers.iter().any(|k| k.name == agent.name) {
+                self.start(agent);
+            }
+        }
+    }
+
+    fn start(&mut self, agent: &Instance) {
+        let keep = keep(
+            self.socket.clone(),
+            self.shared.clone(),
+            self.events.clone(),
+            agent.clone(),
+        );
+        self.keepers.push(Keeper {
+            name: agent.name.clone(),
+            ip: agent.ip,
+            port: agent.peer_port,
+            task: self.io.spawn(keep).abort_handle(),
+        });
+    }
+}
+
+/// Connects to an agent again and again and passes its reports on.
+async fn keep(
+    socket: Endpoint,
+    shared: Arc<Shared>,
+    events: UnboundedSender<Event>,
+    agent: Instance,
+) {
+    loop {
+        if let Ok(connection) = connect(&socket, agent.ip, agent.peer_port).await {
+            let link = Arc::new(Link {
+                name: agent.name.clone(),
+                connection,
+                in_flight: AtomicU32::new(0),
+            });
+            shared.add_link(link.clone());
+            let ended = follow(&link, &events).await;
+            log::info!("agent {}: {ended:?}", agent.name);
+            shared.remove_link(&link);
+            let _ = events.send(Event::AgentLost(agent.name.clone()));
+        }
+        sleep(RECONNECT_INTERVAL).await;
+    }
+}
+
+async fn follow(link: &Link, events: &UnboundedSender<Event>) -> Result<()> {
+    let (_tx, mut reports) = link.open(&Hello::Watch).await?;
+    let mut status: Option<AgentStatus> = None;
+    while let Some(report) = reports.next::<AgentReport>().await? {
+        match (report, &mut status) {
+            (AgentReport::Full(full), _) => status = Some(full),
+            (AgentReport::Load { running, waiting }, Some(status)) => {
+                status.running = running;
+                status.waiting = waiting;
+            }
+            (AgentReport::Load { .. }, None) => {}
+        }
+        if let Some(status) = &status {
+            let _ = events.send(Event::Agent(status.clone()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/model.rs
@@ -0,0 +1,253 @@
+//! Requests to models: their cost, and their way to an engine and back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::answer::{Refusal, StreamInfo, Streaming};
+use super::call::send;
+use super::front::Caller;
+use super::plain::read_answer;
+use super::shared::{OpenRequest, Shared};
+use crate::bucket::BucketCell;
+use crate::clock::Millis;
+use crate::code::{Code, Ran};
+use crate::config::{Class, Urgency, find};
+use crate::http::{Response, whole};
+use crate::wire::{Call, RequestId, Target};
+
+/// Tokens an answer may have if the caller does not say.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+/// How long a request waits for share of its workspace's rate to arrive.
+const SHARE_WAIT: Millis = Millis(200);
+/// Time between two looks at the bucket while waiting.
+const SHARE_POLL: Duration = Duration::from_millis(5);
+/// When to come back to a gateway that has no right to charge.
+const NO_RIGHT_RETRY: Millis = Millis(1_000);
+
+/// Tokens that were charged before a request ran.
+///
+/// What the answer reports as used is kept; the rest is refunded. Without a
+/// report the upper bound stands.
+pub struct Charge {
+    shared: Arc<Shared>,
+    cell: Option<Arc<BucketCell>>,
+    reserved: u64,
+    used: Option<u64>,
+}
+
+impl Charge {
+    /// A charge of nothing.
+    pub fn free(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            cell: None,
+            reserved: 0,
+            used: None,
+        }
+    }
+
+    /// Reads the usage report if this part of the answer holds it.
+    pub fn observe(&mut self, chunk: &[u8]) {
+        if let Some(used) = parse_usage(chunk) {
+            self.used = Some(used);
+        }
+    }
+
+    /// Gives everything back, since the request certainly did not run.
+    pub fn cancel(mut self) {
+        self.used = Some(0);
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        let Some(cell) = &self.cell else {
+            return;
+        };
+        let used = self.used.unwrap_or(self.reserved).min(self.reserved);
+        let now = self.shared.now();
+        cell.with(|b| b.refund(now, self.reserved - used));
+        let metrics = &self.shared.metrics;
+        metrics.count_tokens(&cell.workspace, used);
+    }
+}
+
+/// Charges a workspace, waiting a moment for share from other gateways.
+pub async fn charge(shared: &Arc<Shared>, caller: &Caller, tokens: u64) -> Result<Charge, Refusal> {
+    let Caller::Keyed { workspace, .. } = caller else {
+        return Ok(Charge::free(shared.clone()));
+    };
+    if tokens > workspace.burst_tokens {
+        return Err(Refusal::not_run(Code::LargerThanBurst));
+    }
+    let no_right = Refusal::not_run(Code::RateExceeded).retry_after(NO_RIGHT_RETRY);
+    let cell = shared.bucket(&workspace.name).ok_or(no_right)?;
+    let give_up_at = shared.now() + SHARE_WAIT;
+    loop {
+        let now = shared.now();
+        let is_allowed = now <= shared.right_until();
+        let refusal = match is_allowed {
+            true => match cell.with(|b| b.charge(now, tokens)) {
+                Ok(()) => {
+                    return Ok(Charge {
+                        shared: shared.clone(),
+                        cell: Some(cell),
+                        reserved: tokens,
+                        used: None,
+                    });
+                }
+                Err(wait) => Refusal::not_run(Code::RateExceeded).retry_after(wait),
+            },
+            false => no_right,
+        };
+        if now >= give_up_at {
+            return Err(refusal);
+        }
+        sleep(SHARE_POLL).await;
+    }
+}
+
+/// What a caller asks of a model.
+struct ModelRequest {
+    model: CompactString,
+    is_streamed: bool,
+    cost: u64,
+    body: Bytes,
+}
+
+/// Serves one chat completion.
+pub async fn serve_model(
+    shared: &Arc<Shared>,
+    request: RequestId,
+    caller: Caller,
+    class_name: Option<&str>,
+    body: &[u8],
+    open: OpenRequest,
+) -> Result<Response, Refusal> {
+    let arrived = shared.now();
+    let asked = parse_request(body).ok_or(Refusal::not_run(Code::BadBody))?;
+    let view = shared.view();
+    if !view.catalogue.has(&asked.model) {
+        return Err(Refusal::not_run(Code::UnknownModel));
+    }
+    let class = class_of(&view.document.classes, &caller, class_name)?;
+    let charge = charge(shared, &caller, asked.cost).await?;
+    let due = arrived + Millis(class.first_token_ms);
+    let call = Call {
+        request,
+        workspace: caller.workspace_name().into(),
+        urgency: class.urgency,
+        first_token_in_ms: class.first_token_ms,
+        target: Target::Model(asked.model),
+        method: "POST".into(),
+        path: "/v1/chat/completions".into(),
+        content_type: "application/json".into(),
+        idempotent: true,
+        cost_tokens: asked.cost,
+        body: asked.body,
+    };
+    let answer = match send(shared, call, due).await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            if refusal.ran == Ran::No {
+                charge.cancel();
+            }
+            return Err(refusal);
+        }
+    };
+    let first = shared.now().since(arrived);
+    let target = Millis(class.first_token_ms);
+    let workspace = caller.workspace_name();
+    shared
+        .metrics
+        .record_first_byte(workspace, &class.name, first, target);
+    if asked.is_streamed && answer.status == StatusCode::OK {
+        let (status, content_type) = (answer.status, answer.content_type.clone());
+        let info = StreamInfo {
+            request,
+            caller,
+            class: class.name,
+            arrived,
+        };
+        let streaming = Streaming::new(shared.clone(), info, answer, charge, open);
+        return Ok(streaming.into_response(status, &content_type));
+    }
+    whole_answer(shared, request, caller, answer, charge).await
+}
+
+async fn whole_answer(
+    shared: &Arc<Shared>,
+    request: RequestId,
+    caller: Caller,
+    mut answer: super::call::OpenAnswer,
+    mut charge: Charge,
+) -> Result<Response, Refusal> {
+    let body = read_answer(shared, request, &caller, &mut answer).await?;
+    charge.observe(&body);
+    Ok(whole(answer.status, &answer.content_type, body))
+}
+
+/// The class that the caller names, or its workspace's own.
+pub fn class_of(classes: &[Class], caller: &Caller, name: Option<&str>) -> Result<Class, Refusal> {
+    let name = match (name, caller) {
+        (Some(name), _) => name,
+        (None, Caller::Keyed { workspace, .. }) => &workspace.default_class,
+        (None, Caller::Open) => return Ok(open_class()),
+    };
+    let class = find(classes, name).cloned();
+    class.ok_or(Refusal::not_run(Code::UnknownClass))
+}
+
+/// The class of calls on open routes.
+fn open_class() -> Class {
+    Class {
+        name: "open".into(),
+        urgency: Urgency::Interactive,
+        first_token_ms: 10_000,
+        between_tokens_ms: 1_000,
+    }
+}
+
+/// Checks a body, and bounds the cost: no token is shorter than a byte.
+fn parse_request(body: &[u8]) -> Option<ModelRequest> {
+    let mut value: Value = serde_json::from_slice(body).ok()?;
+    let fields = value.as_object_mut()?;
+    let model = CompactString::from(fields.get("model")?.as_str()?);
+    let messages = fields.get("messages")?.as_array()?;
+    if messages.is_empty() {
+        return None;
+    }
+    let prompt_bytes = serde_json::to_string(messages).ok()?.len() as u64;
+    let is_streamed = fields.get("stream").and_then(Value::as_bool);
+    let is_streamed = is_streamed.unwrap_or_default();
+    let max_tokens = match fields.get("max_tokens") {
+        Some(tokens) => tokens.as_u64()?,
+        None => DEFAULT_MAX_TOKENS,
+    };
+    fields.insert("max_tokens".to_owned(), json!(max_tokens));
+    if is_streamed {
+        let options = json!({ "include_usage": true });
+        fields.insert("stream_options".to_owned(), options);
+    }
+    Some(ModelRequest {
+        model,
+        is_streamed,
+        cost: prompt_bytes.saturating_add(max_tokens),
+        body: serde_json::to_vec(&value).ok()?.into(),
+    })
+}
+
+/// Finds `"total_tokens":N` of a usage report.
+fn parse_usage(chunk: &[u8]) -> Option<u64> {
+    const FIELD: &[u8] = b"\"total_tokens\":";
+    let at = chunk.windows(FIELD.len()).rposition(|w| w == FIELD)?;
+    let rest = chunk[at + FIELD.len()..].trim_ascii_start();
+    let digits = rest.iter().take_while(|b| b.is_ascii_digit()).count();
+    std::str::from_utf8(&rest[..digits]).ok()?.parse().ok()
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,201 @@
+//! What the control thread publishes to the traffic threads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use super::links::Link;
+use crate::bucket::{Bucket, BucketCell, Usage};
+use crate::claim::Claims;
+use crate::clock::{Clock, Millis};
+use crate::config::Workspace;
+use crate::control::View;
+use crate::metrics::Metrics;
+
+/// Retries earned by each request, in thousandths.
+const RETRY_EARNED: i64 = 200;
+/// Retries that may be saved up, in thousandths.
+const RETRY_SAVED: i64 = 10_000;
+
+/// State that all threads of a gateway share.
+pub struct Shared {
+    pub clock: Clock,
+    pub claims: Claims,
+    pub metrics: Arc<Metrics>,
+    view: ArcSwap<View>,
+    changed: watch::Sender<u64>,
+    buckets: ArcSwap<Vec<Arc<BucketCell>>>,
+    links: ArcSwap<Vec<Arc<Link>>>,
+    keyed_until: AtomicU64,
+    right_until: AtomicU64,
+    draining: AtomicBool,
+    open_requests: AtomicUsize,
+    retry_budget: AtomicI64,
+}
+
+impl Shared {
+    /// State of a gateway that serves nothing yet.
+    pub fn new(clock: Clock, claims: Claims, metrics: Arc<Metrics>) -> Self {
+        Self {
+            clock,
+            claims,
+            metrics,
+            view: ArcSwap::default(),
+            changed: watch::Sender::new(0),
+            buckets: ArcSwap::default(),
+            links: ArcSwap::default(),
+            keyed_until: AtomicU64::new(0),
+            right_until: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+            retry_budget: AtomicI64::new(RETRY_SAVED),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The view last published.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Wakes whenever a configuration is published or keyed routes stop.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Publishes a view and gives each workspace its bucket.
+    pub fn publish(&self, view: View) {
+        let is_new_revision = view.revision != self.view.load().revision;
+        if is_new_revision {
+            self.update_buckets(&view.document.workspaces);
+        }
+        self.view.store(Arc::new(view));
+        if is_new_revision {
+            self.changed.send_modify(|version| *version += 1);
+        }
+    }
+
+    /// The bucket of a workspace.
+    pub fn bucket(&self, workspace: &str) -> Option<Arc<BucketCell>> {
+        let buckets = self.buckets.load();
+        let at = buckets.binary_search_by(|b| b.workspace.as_str().cmp(workspace));
+        Some(buckets[at.ok()?].clone())
+    }
+
+    /// Reads the counters of use of all buckets.
+    pub fn take_usage(&self) -> Vec<Usage> {
+        let now = self.now();
+        let buckets = self.buckets.load();
+        let usage = |cell: &Arc<BucketCell>| cell.with(|b| b.take_usage(now, &cell.workspace));
+        buckets.iter().map(usage).collect()
+    }
+
+    /// Until when keyed routes are served.
+    pub fn keyed_until(&self) -> Millis {
+        Millis(self.keyed_until.load(Ordering::Acquire))
+    }
+
+    /// Sets until when keyed routes are served.
+    pub fn set_keyed_until(&self, until: Millis) {
+        self.keyed_until.store(until.0, Ordering::Release);
+    }
+
+    /// Until when buckets may be charged.
+    pub fn right_until(&self) -> Millis {
+        Millis(self.right_until.load(Ordering::Acquire))
+    }
+
+    /// Sets until when buckets may be charged.
+    pub fn set_right_until(&self, until: Millis) {
+        self.right_until.store(until.0, Ordering::Release);
+    }
+
+    /// The connections to agents, sorted by name.
+    pub fn links(&self) -> Arc<Vec<Arc<Link>>> {
+        self.links.load_full()
+    }
+
+    /// Adds or replaces a connection.
+    pub fn add_link(&self, link: Arc<Link>) {
+        self.links.rcu(|links| {
+            let mut links = Vec::clone(links);
+            links.retain(|other| other.name != link.name);
+            links.push(link.clone());
+            links.sort_by(|a, b| a.name.cmp(&b.name));
+            links
+        });
+    }
+
+    /// Removes a connection.
+    pub fn remove_link(&self, link: &Arc<Link>) {
+        self.links.rcu(|links| {
+            let mut links = Vec::clone(links);
+            links.retain(|other| !Arc::ptr_eq(other, link));
+            links
+        });
+    }
+
+    /// Whether the gateway is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Notes that the gateway is shutting down.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Requests whose answers have not ended.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::AcqRel);
+        let earned = self.retry_budget.load(Ordering::Relaxed) + RETRY_EARNED;
+        self.retry_budget
+            .store(earned.min(RETRY_SAVED), Ordering::Relaxed);
+        OpenRequest(self.clone())
+    }
+
+    /// Takes one retry from the budget, if there is one.
+    pub fn take_retry(&self) -> bool {
+        let left = self.retry_budget.fetch_sub(1_000, Ordering::Relaxed);
+        if left >= 1_000 {
+            return true;
+        }
+        self.retry_budget.fetch_add(1_000, Ordering::Relaxed);
+        false
+    }
+
+    fn update_buckets(&self, workspaces: &[Workspace]) {
+        let now = self.now();
+        let cell = |workspace: &Workspace| {
+            let (rate, burst) = (workspace.rate_tokens_per_s, workspace.burst_tokens);
+            if let Some(cell) = self.bucket(&workspace.name) {
+                cell.with(|b| b.set_limits(now, rate, burst));
+                return cell;
+            }
+            let bucket = Bucket::new(now, rate, burst);
+            Arc::new(BucketCell::new(workspace.name.clone(), bucket))
+        };
+        let cells = workspaces.iter().map(cell).collect();
+        self.buckets.store(Arc::new(cells));
+    }
+}
+
+/// Counts a request as open until it is dropped.
+pub struct OpenRequest(Arc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,278 @@
+//! Small helpers around the HTTP server and client libraries.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use xitca_web::body::{BodyExt as _, RequestBody, ResponseBody, StreamDataBody};
+use xitca_web::handler::body::Body;
+use xitca_web::handler::handler_service;
+use xitca_web::{App, WebContext};
+
+use crate::error::{Error, Result};
+
+/// A response of the HTTP server.
+pub type Response = http::Response<ResponseBody>;
+
+/// A client that never repeats a request by itself.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// The largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// How long a caller may take to send a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long an idle caller connection is kept.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time for the last bytes of finished answers to be written.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// A request as received by the HTTP server.
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body, not yet read.
+    pub body: RequestBody,
+}
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyProblem {
+    /// It is larger than allowed.
+    TooLarge,
+    /// It did not arrive in time.
+    Timeout,
+    /// The connection broke or the encoding is not valid.
+    Broken,
+}
+
+impl Request {
+    /// A header's value, if it is printable text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads the whole body within a size and a time.
+    pub async fn read_body(
+        &mut self,
+        max_bytes: usize,
+        timeout: Duration,
+    ) -> std::result::Result<Bytes, BodyProblem> {
+        let body = std::mem::take(&mut self.body);
+        let read = read_limited(body, max_bytes);
+        match tokio::time::timeout(timeout, read).await {
+            Ok(result) => result,
+            Err(_) => Err(BodyProblem::Timeout),
+        }
+    }
+}
+
+async fn read_limited(
+    body: RequestBody,
+    max_bytes: usize,
+) -> std::result::Result<Bytes, BodyProblem> {
+    let mut body = pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = body.as_mut().data().await {
+        let chunk = chunk.map_err(|_| BodyProblem::Broken)?;
+        if buf.len() + chunk.len() > max_bytes {
+            return Err(BodyProblem::TooLarge);
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
+
+/// Something that answers HTTP requests.
+pub trait Respond: Send + Sync + 'static {
+    /// Answers one request.
+    fn respond(self: Arc<Self>, req: Request) -> impl Future<Output = Response>;
+}
+
+/// A running HTTP server.
+pub struct Server {
+    stop: Box<dyn FnOnce() + Send>,
+    thread: JoinHandle<std::io::Result<()>>,
+}
+
+impl Server {
+    /// Closes the listener and all connections and ends the server.
+    /// Answers that were finished a moment ago still get time to be written.
+    pub fn stop(self) {
+        std::thread::sleep(FLUSH_TIME);
+        (self.stop)();
+        let _ = self.thread.join();
+    }
+}
+
+/// Starts a server on its own threads.
+pub fn serve<S: Respond>(addr: SocketAddr, threads: usize, service: Arc<S>) -> Result<Server> {
+    let mut server = App::new()
+        .with_state(service)
+        .at("/{*}", handler_service(dispatch::<S>))
+        .serve()
+        .worker_threads(threads)
+        .disable_signal()
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .request_head_timeout(HEAD_TIMEOUT)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .bind(addr)
+        .map_err(|e| Error::io(format!("binding TCP {addr}"), e))?
+        .run();
+    let handle = server
+        .handle()
+        .map_err(|e| Error::io("starting the HTTP server", e))?;
+    let thread = std::thread::spawn(move || server.wait());
+    let stop = Box::new(move || handle.stop(false));
+    Ok(Server { stop, thread })
+}
+
+async fn dispatch<S: Respond>(
+    cx: &WebContext<'_, Arc<S>>,
+    Body(body): Body<RequestBody>,
+) -> Response {
+    let service = cx.state().clone();
+    let req = Request {
+        method: cx.req().method().clone(),
+        uri: cx.req().uri().clone(),
+        headers: cx.req().headers().clone(),
+        body,
+    };
+    service.respond(req).await
+}
+
+/// A response with a whole body.
+pub fn whole(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Response {
+    let mut res = Response::new(ResponseBody::bytes(body.into()));
+    *res.status_mut() = status;
+    set_header(&mut res, header::CONTENT_TYPE.as_str(), content_type);
+    res
+}
+
+/// A JSON response.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    whole(status, "application/json", body)
+}
+
+/// A response whose body is sent part by part. An error item cuts the connection.
+pub fn streamed<S>(status: StatusCode, content_type: &str, stream: S) -> Response
+where
+    S: Stream<Item = std::result::Result<Bytes, std::io::Error>> + 'static,
+{
+    let mut res = Response::new(ResponseBody::boxed(StreamDataBody::new(stream)));
+    *res.status_mut() = status;
+    set_header(&mut res, header::CONTENT_TYPE.as_str(), content_type);
+    res
+}
+
+/// Sets a response header; a value that cannot be sent is left out.
+pub fn set_header(res: &mut Response, name: &str, value: &str) {
+    let name = header::HeaderName::try_from(name);
+    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+        res.headers_mut().insert(name, value);
+    }
+}
+
+/// A client with pooled connections.
+pub fn client() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(1)));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_secs(20))
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// Sends a JSON body and reads a JSON answer, within a time.
+pub async fn exchange<T: Serialize, R: DeserializeOwned>(
+    client: &HttpClient,
+    method: Method,
+    uri: &str,
+    message: Option<&T>,
+    timeout: Duration,
+) -> Result<R> {
+    let body = match message {
+        Some(message) => serde_json::to_vec(message).map_err(http_error)?,
+        None => Vec::new(),
+    };
+    let bytes = fetch(client, method, uri, body.into(), timeout).await?;
+    serde_json::from_slice(&bytes).map_err(http_error)
+}
+
+/// Sends a body and reads the whole answer, within a time; statuses from 300 are errors.
+pub async fn fetch(
+    client: &HttpClient,
+    method: Method,
+    uri: &str,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<Bytes> {
+    let exchange = async {
+        let res = open(client, method, uri, body).await?;
+        let status = res.status();
+        let bytes = res.into_body().collect().await.map_err(http_error)?;
+        let bytes = bytes.to_bytes();
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&bytes);
+            return Err(Error::Http(format!("{status}: {text}")));
+        }
+        Ok(bytes)
+    };
+    match tokio::time::timeout(timeout, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Http(format!("{uri}: timeout"))),
+    }
+}
+
+/// Sends a request and returns the response with its body unread.
+pub async fn open(
+    client: &HttpClient,
+    method: Method,
+    uri: &str,
+    body: Bytes,
+) -> Result<http::Response<Incoming>> {
+    let req = http::Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(http_error)?;
+    client.request(req).await.map_err(http_error)
+}
+
+/// Turns a stream of infallible parts into one that a response takes.
+pub fn infallible<S>(stream: S) -> impl Stream<Item = std::result::Result<Bytes, std::io::Error>>
+where
+    S: Stream<Item = std::result::Result<Bytes, Infallible>>,
+{
+    use futures_util::StreamExt as _;
+    stream.map(|item| match item {
+        Ok(bytes) => Ok(bytes),
+        Err(never) => match never {},
+    })
+}
+
+fn http_error(error: impl std::fmt::Display) -> Error {
+    Error::Http(error.to_string())
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,241 @@
+//! The memory of one endpoint: what is held, on its way, or not yet certainly gone.
+//!
+//! A load reserves its memory before the order leaves the agent. An unload
+//! frees it only when the endpoint itself reports the model gone. Between
+//! order and report the larger of both states counts, so memory is never
+//! overcommitted, whatever is lost or late.
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::code::Code;
+use crate::wire::{Action, Fence, Order, Residency, Resident};
+
+/// How far an endpoint's report of its memory may lag behind its answers.
+pub const REPORT_LAG: Millis = Millis(2_000);
+
+/// What the ledger wants done at the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing; the endpoint is already there.
+    Nothing,
+    /// Send the order to the endpoint.
+    Forward,
+}
+
+/// What an endpoint reports of its own memory.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EndpointReport {
+    /// The endpoint's memory, in bytes.
+    pub memory_bytes: u64,
+    /// The highest fencing number the endpoint has seen, if it keeps one.
+    pub fence: Fence,
+    /// The models it holds or loads.
+    pub models: Vec<Resident>,
+}
+
+/// The account of one endpoint's memory.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    memory_bytes: Option<u64>,
+    floor: Fence,
+    residents: Vec<Entry>,
+    /// Counts orders and answers, so that a report read across one is passed over.
+    changes: u64,
+}
+
+/// Marks the moment at which a report was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportTicket(u64);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    resident: Resident,
+    /// Orders sent to the endpoint whose answer is still open.
+    in_flight: u32,
+    /// Until when a report without the model does not prove it gone.
+    trusted_until: Millis,
+}
+
+impl Ledger {
+    /// A ledger that knows nothing and accepts no order.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Learns the lowest fencing number that may be obeyed.
+    pub fn raise_floor(&mut self, fence: Fence) {
+        self.floor = self.floor.max(fence);
+    }
+
+    /// The lowest fencing number that may be obeyed.
+    pub fn floor(&self) -> Fence {
+        self.floor
+    }
+
+    /// Checks an order and reserves what it needs, before it is sent on.
+    pub fn order(&mut self, order: &Order) -> Result<Step, Code> {
+        if order.fence < self.floor || order.fence == Fence::default() {
+            return Err(Code::OldFence);
+        }
+        let memory_bytes = self.memory_bytes.ok_or(Code::NoEndpoint)?;
+        self.floor = order.fence;
+        self.changes += 1;
+        let step = match order.action {
+            Action::Load => self.load(order, memory_bytes)?,
+            Action::Unload => self.unload(order),
+        };
+        self.assert_within_memory();
+        Ok(step)
+    }
+
+    /// Notes that an order got its answer, or that its last possible moment has passed.
+    pub fn settled(&mut self, now: Millis, model: &str) {
+        self.changes += 1;
+        if let Ok(at) = self.find(model) {
+            let entry = &mut self.residents[at];
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+            entry.trusted_until = now + REPORT_LAG;
+        }
+    }
+
+    /// Frees a reservation whose order the endpoint certainly refused.
+    pub fn rejected(&mut self, model: &str) {
+        self.changes += 1;
+        if let Ok(at) = self.find(model) {
+            let entry = &mut self.residents[at];
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+            let is_reservation = entry.resident.state == Residency::Loading;
+            if is_reservation && entry.in_flight == 0 {
+                self.residents.remove(at);
+            }
+        }
+    }
+
+    /// To be taken before a report is asked for.
+    pub fn report_ticket(&self) -> ReportTicket {
+        ReportTicket(self.changes)
+    }
+
+    /// Takes in the endpoint's own report. One that was asked for before the
+    /// last order or answer is passed over, and so is a lagging report's
+    /// silence about a model that was ordered a moment ago.
+    pub fn report(&mut self, now: Millis, ticket: ReportTicket, report: &EndpointReport) {
+        if ticket.0 != self.changes {
+            return;
+        }
+        self.memory_bytes = Some(report.memory_bytes);
+        self.raise_floor(report.fence);
+        let in_report = |entry: &Entry| {
+            report
+                .models
+                .iter()
+                .any(|m| m.model == entry.resident.model)
+        };
+        self.residents
+            .retain(|entry| entry.in_flight > 0 || now < entry.trusted_until || in_report(entry));
+        for held in &report.models {
+            self.note_held(now, held);
+        }
+    }
+
+    /// Models held or on their way, sorted by name.
+    pub fn residents(&self) -> Vec<Resident> {
+        self.residents.iter().map(|e| e.resident.clone()).collect()
+    }
+
+    /// The endpoint's memory, once it is known, in bytes.
+    pub fn memory_bytes(&self) -> Option<u64> {
+        self.memory_bytes
+    }
+
+    /// The memory that is held or reserved, in bytes.
+    pub fn used_bytes(&self) -> u64 {
+        self.residents.iter().map(|e| e.resident.bytes).sum()
+    }
+
+    /// Whether a request for the model may be sent to the endpoint.
+    pub fn is_ready(&self, model: &str) -> bool {
+        match self.find(model) {
+            Ok(at) => self.residents[at].resident.state == Residency::Ready,
+            Err(_) => false,
+        }
+    }
+
+    fn load(&mut self, order: &Order, memory_bytes: u64) -> Result<Step, Code> {
+        match self.find(&order.model) {
+            Ok(at) => match self.residents[at].resident.state {
+                Residency::Ready | Residency::Loading => Ok(Step::Nothing),
+                // It may still be going; a new load must wait for the report.
+                Residency::Unloading => Err(Code::Busy),
+            },
+            Err(at) => {
+                if self.used_bytes().saturating_add(order.bytes) > memory_bytes {
+                    return Err(Code::NoRoom);
+                }
+                let resident = Resident {
+                    model: order.model.clone(),
+                    state: Residency::Loading,
+                    bytes: order.bytes,
+                };
+                let entry = Entry {
+                    resident,
+                    in_flight: 1,
+                    trusted_until: Millis::ZERO,
+                };
+                self.residents.insert(at, entry);
+                Ok(Step::Forward)
+            }
+        }
+    }
+
+    fn unload(&mut self, order: &Order) -> Step {
+        let Ok(at) = self.find(&order.model) else {
+            return Step::Nothing;
+        };
+        let entry = &mut self.residents[at];
+        entry.resident.state = Residency::Unloading;
+        entry.in_flight += 1;
+        Step::Forward
+    }
+
+    fn note_held(&mut self, now: Millis, held: &Resident) {
+        match self.find(&held.model) {
+            Ok(at) => {
+                let entry = &mut self.residents[at];
+                entry.resident.bytes = entry.resident.bytes.max(held.bytes);
+                let is_leaving = entry.resident.state == Residency::Unloading;
+                if !(is_leaving && (entry.in_flight > 0 || now < entry.trusted_until)) {
+                    entry.resident.state = held.state;
+                }
+            }
+            Err(at) => {
+                let resident = held.clone();
+                let entry = Entry {
+                    resident,
+                    in_flight: 0,
+                    trusted_until: Millis::ZERO,
+                };
+                self.residents.insert(at, entry);
+            }
+        }
+    }
+
+    fn assert_within_memory(&self) {
+        let Some(memory_bytes) = self.memory_bytes else {
+            return;
+        };
+        assert!(
+            self.used_bytes() <= memory_bytes,
+            "{} memory overcommitted: {} of {memory_bytes} bytes",
+            Code::InvariantBroken.number(),
+            self.used_bytes(),
+        );
+    }
+
+    fn find(&self, model: &str) -> Result<usize, usize> {
+        self.residents
+            .binary_search_by(|entry| entry.resident.model.as_str().cmp(model))
+    }
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Metrics by OpenTelemetry, read by Prometheus.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+use crate::clock::Millis;
+use crate::error::{Error, Result};
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const DURATION_BOUNDS_S: [f64; 12] = [
+    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0,
+];
+
+/// The instruments of one process.
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    targets: Counter<u64>,
+    tokens: Counter<u64>,
+    first_byte: Histogram<f64>,
+    duration: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Instruments under the name of a program.
+    pub fn new(program: &'static str) -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::io("starting metrics", std::io::Error::other(e)))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(program);
+        let seconds = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(text)
+                .with_boundaries(DURATION_BOUNDS_S.to_vec())
+                .build()
+        };
+        Ok(Self {
+            requests: meter
+                .u64_counter("rattanstall.requests")
+                .with_description("Requests by workspace, class and result code (0: answered)")
+                .build(),
+            targets: meter
+                .u64_counter("rattanstall.targets")
+                .with_description(
+                    "Answered requests by workspace, class and whether the target was met",
+                )
+                .build(),
+            tokens: meter
+                .u64_counter("rattanstall.tokens")
+                .with_description("Tokens charged by workspace")
+                .build(),
+            first_byte: seconds("rattanstall.first_byte.duration", "Time to the first byte"),
+            duration: seconds(
+                "rattanstall.request.duration",
+                "Time to the end of the answer",
+            ),
+            registry,
+            provider,
+        })
+    }
+
+    /// Counts a request that has ended; code 0 stands for an answer.
+    pub fn count_request(&self, workspace: &str, class: &str, code: u16) {
+        let labels = [
+            KeyValue::new("workspace", workspace.to_owned()),
+            KeyValue::new("class", class.to_owned()),
+            KeyValue::new("code", i64::from(code)),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts tokens charged to a workspace.
+    pub fn count_tokens(&self, workspace: &str, tokens: u64) {
+        let labels = [KeyValue::new("workspace", workspace.to_owned())];
+        self.tokens.add(tokens, &labels);
+    }
+
+    /// Records when an answer began, and whether that met the class's target.
+    pub fn record_first_byte(&self, workspace: &str, class: &str, after: Millis, target: Millis) {
+        let class = KeyValue::new("class", class.to_owned());
+        self.first_byte
+            .record(secs(after), std::slice::from_ref(&class));
+        let labels = [
+            KeyValue::new("workspace", workspace.to_owned()),
+            class,
+            KeyValue::new("met", after <= target),
+        ];
+        self.targets.add(1, &labels);
+    }
+
+    /// Records how long an answer took to its end.
+    pub fn record_duration(&self, class: &str, after: Millis) {
+        let labels = [KeyValue::new("class", class.to_owned())];
+        self.duration.record(secs(after), &labels);
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
+
+impl Drop for Metrics {
+    fn drop(&mut self) {
+        let _ = self.provider.shutdown();
+    }
+}
+
+fn secs(span: Millis) -> f64 {
+    span.as_duration().as_secs_f64()
+}
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,222 @@
+//! What operators do: apply configuration, withdraw keys, look at the fleet.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::Method;
+use serde::Serialize;
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use crate::config::{Change, Document, Key, digest_of};
+use crate::configuration::{Configuration, append, read_current};
+use crate::error::{Error, Result};
+use crate::http::{HttpClient, client, fetch};
+use crate::instances::{Instance, InstanceList, Role};
+use crate::platform::Platform;
+
+/// How long one process may take to answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between two looks at the gateways while waiting.
+const WAIT_POLL: Duration = Duration::from_millis(100);
+/// Attempts to append a change that does not depend on others.
+const APPEND_ATTEMPTS: usize = 8;
+
+/// An operator's access to the platform and the fleet.
+pub struct Operator {
+    platform: Platform,
+    instances: Option<InstanceList>,
+    client: HttpClient,
+}
+
+/// Where a process stands, as its state dump tells.
+#[derive(Clone, Debug, Serialize)]
+pub struct ProcessState {
+    /// The instance.
+    pub name: CompactString,
+    /// What it runs.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: CompactString,
+    /// The state dump, if it answered.
+    pub state: Option<Value>,
+}
+
+/// A key that was just created. Its secret is shown once and kept nowhere.
+#[derive(Clone, Debug, Serialize)]
+pub struct CreatedKey {
+    /// The secret that callers show.
+    pub secret: String,
+    /// The digest by which it is withdrawn.
+    pub digest: CompactString,
+    /// The revision in which it appeared.
+    pub revision: u64,
+}
+
+impl Operator {
+    /// Works on the platform's service, and with an instance list on the fleet.
+    pub fn new(platform: SocketAddr, instances: Option<SocketAddr>) -> Self {
+        Self {
+            platform: Platform::new(platform),
+            instances: instances.map(InstanceList::new),
+            client: client(),
+        }
+    }
+
+    /// The configuration as it stands.
+    pub async fn current(&self) -> Result<Configuration> {
+        read_current(&self.platform).await
+    }
+
+    /// Replaces the configuration, keys excepted if the document lists none.
+    /// With an expected revision, any other one in force is a conflict.
+    pub async fn apply(&self, mut document: Document, expect: Option<u64>) -> Result<u64> {
+        let current = self.current().await?;
+        if let Some(expected) = expect
+            && expected != current.revision()
+        {
+            let found = current.revision();
+            return Err(Error::Conflict { expected, found });
+        }
+        if document.keys.is_empty() {
+            document.keys = current.document().keys.clone();
+        }
+        let change = current.document().diff(&document);
+        self.append(&current, &change).await
+    }
+
+    /// Creates a key for a workspace.
+    pub async fn create_key(&self, workspace: &str) -> Result<CreatedKey> {
+        let secret = format!("rs-{:032x}{:032x}", random(), random());
+        let digest = digest_of(secret.as_bytes());
+        let change = Change::add_key(Key {
+            digest: digest.clone(),
+            workspace: workspace.into(),
+        });
+        let revision = self.append_independent(&change).await?;
+        Ok(CreatedKey {
+            secret,
+            digest,
+            revision,
+        })
+    }
+
+    /// Withdraws a key by its digest.
+    pub async fn withdraw_key(&self, digest: &str) -> Result<u64> {
+        let current = self.current().await?;
+        if crate::config::find(&current.document().keys, digest).is_none() {
+            return Err(Error::Config {
+                key: "key".to_owned(),
+                message: format!("no key has the digest {digest}"),
+            });
+        }
+        self.append_independent(&Change::withdraw_key(digest)).await
+    }
+
+    /// Waits until every gateway that the platform lists has a revision in force,
+    /// calling `progress` with how many have it and how many there are.
+    pub async fn wait(
+        &self,
+        revision: u64,
+        timeout: Duration,
+        mut progress: impl FnMut(usize, usize),
+    ) -> Result<()> {
+        let deadline = Instant::now() + timeout;
+        loop {
+            let fleet = self.states().await?;
+            let gateways: Vec<_> = fleet.iter().filter(|p| p.role == Role::Gateway).collect();
+            let has = |p: &&&ProcessState| revision_of(p).is_some_and(|r| r >= revision);
+            let done = gateways.iter().filter(has).count();
+            progress(done, gateways.len());
+            if done == gateways.len() {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                let message = format!("revision {revision} in force on {done} gateways only");
+                return Err(Error::Platform(message));
+            }
+            sleep(WAIT_POLL).await;
+        }
+    }
+
+    /// The state of every process that the platform lists.
+    pub async fn states(&self) -> Result<Vec<ProcessState>> {
+        let mut states = Vec::new();
+        for instance in self.listed().await? {
+            let admin = SocketAddr::new(instance.ip, instance.admin_port);
+            states.push(ProcessState {
+                state: self.dump(admin).await.ok(),
+                name: instance.name,
+                role: instance.role,
+                zone: instance.zone,
+            });
+        }
+        Ok(states)
+    }
+
+    /// One process's state.
+    pub async fn dump(&self, admin: SocketAddr) -> Result<Value> {
+        let uri = format!("http://{admin}/state");
+        let body = fetch(&self.client, Method::GET, &uri, Bytes::new(), CALL_TIMEOUT).await?;
+        serde_json::from_slice(&body).map_err(|e| Error::Http(e.to_string()))
+    }
+
+    /// Tells one process to shut down gracefully.
+    pub async fn drain(&self, admin: SocketAddr) -> Result<()> {
+        self.post(admin, "/drain").await
+    }
+
+    async fn append_independent(&self, change: &Change) -> Result<u64> {
+        let mut last = None;
+        for _ in 0..APPEND_ATTEMPTS {
+            let current = self.current().await?;
+            match self.append(&current, change).await {
+                Err(conflict @ Error::Conflict { .. }) => last = Some(conflict),
+                other => return other,
+            }
+        }
+        Err(last.unwrap_or_else(|| Error::Platform("no attempt was made".to_owned())))
+    }
+
+    async fn append(&self, current: &Configuration, change: &Change) -> Result<u64> {
+        if change.is_empty() {
+            return Ok(current.revision());
+        }
+        let apply = format_compact!("{:032x}", random());
+        let revision = append(&self.platform, current, &apply, change).await?;
+        self.hint(revision).await;
+        Ok(revision)
+    }
+
+    /// Tells gateways at once; one that cannot read the change stops serving keys.
+    async fn hint(&self, revision: u64) {
+        let instances = self.listed().await.unwrap_or_default();
+        for instance in instances.iter().filter(|i| i.role == Role::Gateway) {
+            let admin = SocketAddr::new(instance.ip, instance.admin_port);
+            let _ = self.post(admin, &format!("/hint/{revision}")).await;
+        }
+    }
+
+    async fn post(&self, admin: SocketAddr, path: &str) -> Result<()> {
+        let uri = format!("http://{admin}{path}");
+        let posted = fetch(&self.client, Method::POST, &uri, Bytes::new(), CALL_TIMEOUT);
+        posted.await.map(drop)
+    }
+
+    async fn listed(&self) -> Result<Vec<Instance>> {
+        match &self.instances {
+            Some(instances) => instances.read().await,
+            None => Ok(Vec::new()),
+        }
+    }
+}
+
+fn revision_of(process: &ProcessState) -> Option<u64> {
+    process.state.as_ref()?.get("revision")?.as_u64()
+}
+
+fn random() -> u128 {
+    rand::random()
+}
--- /dev/null
+++ b/src/weights.rs
@@ -0,0 +1,76 @@
+//! Client of the weight store's catalogue.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::Method;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+use crate::http::{HttpClient, client, fetch};
+
+/// The path of the catalogue.
+pub const CATALOGUE_PATH: &str = "/catalogue";
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// One model of the weight store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    /// The model's name.
+    pub name: CompactString,
+    /// The memory it takes on an endpoint, in bytes.
+    pub bytes: u64,
+}
+
+/// What the weight store offers and allows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Catalogue {
+    /// The models, sorted by name.
+    pub models: Vec<Model>,
+    /// Loads at once at full speed.
+    pub concurrent_loads: usize,
+}
+
+impl Catalogue {
+    /// Whether the store has this model.
+    pub fn has(&self, model: &str) -> bool {
+        self.models
+            .binary_search_by(|m| m.name.as_str().cmp(model))
+            .is_ok()
+    }
+}
+
+/// Reads the catalogue. Clones share their connections.
+#[derive(Clone, Debug)]
+pub struct WeightStore {
+    client: HttpClient,
+    uri: String,
+}
+
+impl WeightStore {
+    /// A client of the store at this address.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            client: client(),
+            uri: format!("http://{addr}{CATALOGUE_PATH}"),
+        }
+    }
+
+    /// Reads the catalogue.
+    pub async fn read(&self) -> Result<Catalogue> {
+        let body = fetch(
+            &self.client,
+            Method::GET,
+            &self.uri,
+            Bytes::new(),
+            CALL_TIMEOUT,
+        )
+        .await?;
+        let mut catalogue: Catalogue =
+            serde_json::from_slice(&body).map_err(|e| Error::Http(e.to_string()))?;
+        catalogue.models.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(catalogue)
+    }
+}
--- /dev/null
+++ b/standins/src/bin/standin-engine/main.rs
@@ -0,0 +1,40 @@
+//! Stand-in of a model engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rattanstall_standins::engine::{EngineSetup, EngineStandIn};
+use rattanstall_standins::options::{parse, required, value};
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let options = [
+        ("listen", "address"),
+        ("memory-bytes", "memory (default 1000)"),
+        (
+            "obeys-fence",
+            "whether old fencing numbers are refused (default true)",
+        ),
+        ("weights", "address of the weight store"),
+        (
+            "prefill-us",
+            "prefill for each token, microseconds (default 50)",
+        ),
+        ("step-us", "one step, microseconds (default 2000)"),
+        (
+            "batch-us",
+            "added to a step by each further request, microseconds (default 50)",
+        ),
+    ];
+    let args = parse("Stands in for a model engine.", &options);
+    let listen: SocketAddr = required(&args, "listen");
+    let setup = EngineSetup {
+        memory_bytes: value(&args, "memory-bytes", 1_000),
+        obeys_fence: value(&args, "obeys-fence", true),
+        weights: Some(required(&args, "weights")),
+        prefill_us: value(&args, "prefill-us", 50),
+        step_us: value(&args, "step-us", 2_000),
+        batch_us: value(&args, "batch-us", 50),
+    };
+    rattanstall_standins::run_until_stopped(listen, Arc::new(EngineStandIn::new(setup)))?;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,165 @@
+//! A caller for tests and measurements.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use rattanstall::http::{HttpClient, client};
+use serde_json::{Value, json};
+
+/// A whole answer as the caller saw it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body as far as it arrived.
+    pub body: Bytes,
+    /// Whether the body ended as announced.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is not.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// The result code in an error, zero if there is none.
+    pub fn code(&self) -> u64 {
+        self.json()["error"]["code"].as_u64().unwrap_or_default()
+    }
+
+    /// Whether the refusal says that the request ran.
+    pub fn ran(&self) -> String {
+        let body = self.json();
+        body["error"]["ran"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// What a caller sends besides the body.
+#[derive(Clone, Debug, Default)]
+pub struct Ask<'a> {
+    /// The key.
+    pub key: Option<&'a str>,
+    /// The idempotency key.
+    pub idempotency_key: Option<&'a str>,
+    /// The class.
+    pub class: Option<&'a str>,
+}
+
+/// Sends requests to one address.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: HttpClient,
+    base: String,
+}
+
+impl Caller {
+    /// A caller of this address.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            client: client(),
+            base: format!("http://{addr}"),
+        }
+    }
+
+    /// Sends a request and returns the response with its body unread.
+    pub async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        ask: &Ask<'_>,
+        body: impl Into<Bytes>,
+    ) -> Result<http::Response<Incoming>, hyper_util::client::legacy::Error> {
+        let mut req = http::Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header("content-type", "application/json");
+        if let Some(key) = ask.key {
+            req = req.header("authorization", format!("Bearer {key}"));
+        }
+        if let Some(key) = ask.idempotency_key {
+            req = req.header("idempotency-key", key);
+        }
+        if let Some(class) = ask.class {
+            req = req.header("x-class", class);
+        }
+        let req = req.body(Full::new(body.into())).expect("a valid request");
+        self.client.request(req).await
+    }
+
+    /// Sends a request and reads the answer to its end.
+    pub async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        ask: &Ask<'_>,
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, hyper_util::client::legacy::Error> {
+        let res = self.open(method, path, ask, body).await?;
+        Ok(read(res).await)
+    }
+
+    /// Posts JSON and reads the answer to its end.
+    pub async fn post(
+        &self,
+        path: &str,
+        ask: &Ask<'_>,
+        body: &Value,
+    ) -> Result<Answer, hyper_util::client::legacy::Error> {
+        self.ask(Method::POST, path, ask, body.to_string()).await
+    }
+
+    /// Sets the faults of a stand-in.
+    pub async fn set_faults(&self, faults: &crate::faults::Faults) {
+        let body = serde_json::to_string(faults).expect("faults are JSON");
+        let path = crate::faults::FAULTS_PATH;
+        let answer = self.ask(Method::PUT, path, &Ask::default(), body).await;
+        assert_eq!(answer.expect("the stand-in answers").status, StatusCode::OK);
+    }
+
+    /// Reads JSON from a stand-in or an operators' port.
+    pub async fn get(&self, path: &str) -> Option<Value> {
+        let answer = self.ask(Method::GET, path, &Ask::default(), "").await;
+        Some(answer.ok()?.json())
+    }
+}
+
+/// The body of a chat request.
+pub fn chat(model: &str, prompt: &str, max_tokens: u64, is_streamed: bool) -> Value {
+    json!({
+        "model": model,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": max_tokens,
+        "stream": is_streamed,
+    })
+}
+
+async fn read(res: http::Response<Incoming>) -> Answer {
+    let (head, mut body) = res.into_parts();
+    let mut buf = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    buf.extend_from_slice(&data);
+                }
+            }
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    Answer {
+        status: head.status,
+        headers: head.headers,
+        body: buf.into(),
+        is_whole,
+    }
+}
--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,387 @@
+//! Stand-in of a model engine with a stated cost model.
+//!
+//! A prompt costs prefill time for each token that the prefix cache does not
+//! hold; each further token costs one step, which grows with the number of
+//! requests in the batch. A token is four bytes of prompt.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{Method, StatusCode};
+use rattanstall::http::{
+    HttpClient, Request, Respond, Response, client, fetch, json, set_header, streamed, whole,
+};
+use rattanstall::ledger::EndpointReport;
+use rattanstall::wire::{Fence, Residency, Resident};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::faults::{FAULTS_PATH, FaultSwitch, bad_request};
+
+/// Bytes of prompt for each token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Prompts that the prefix cache holds.
+const CACHED_PREFIXES: usize = 64;
+/// Bytes of the prompt that make up its prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// How an engine behaves.
+#[derive(Clone, Debug)]
+pub struct EngineSetup {
+    /// Its memory, in bytes.
+    pub memory_bytes: u64,
+    /// Whether it refuses orders with an old fencing number.
+    pub obeys_fence: bool,
+    /// The weight store.
+    pub weights: Option<SocketAddr>,
+    /// Prefill for each token, in microseconds.
+    pub prefill_us: u64,
+    /// One step with one request, in microseconds.
+    pub step_us: u64,
+    /// What each further request adds to a step, in microseconds.
+    pub batch_us: u64,
+}
+
+/// One request that the engine ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineRun {
+    /// The request's identifier.
+    pub request: String,
+    /// The workspace.
+    pub workspace: String,
+    /// The model.
+    pub model: String,
+    /// Tokens that were sent.
+    pub tokens: u64,
+    /// Whether the answer was sent to its end.
+    pub finished: bool,
+    /// Names of all headers that the engine saw.
+    pub headers: Vec<String>,
+}
+
+/// What the engine recorded.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct EngineHistory {
+    /// All runs.
+    pub runs: Vec<EngineRun>,
+    /// Loads that would have overcommitted the memory.
+    pub overcommits: u64,
+}
+
+#[derive(Default)]
+struct State {
+    models: Vec<Resident>,
+    fence: Fence,
+    prefixes: VecDeque<(CompactString, Vec<u8>)>,
+    history: EngineHistory,
+}
+
+/// A model engine.
+pub struct EngineStandIn {
+    setup: EngineSetup,
+    state: Mutex<State>,
+    running: AtomicU64,
+    faults: FaultSwitch,
+    client: HttpClient,
+}
+
+#[derive(Deserialize)]
+struct OrderBody {
+    model: CompactString,
+    fence: Fence,
+    bytes: u64,
+}
+
+/// One request in the batch; leaving it early is recorded too.
+struct Running {
+    engine: Arc<EngineStandIn>,
+    at: usize,
+}
+
+impl Running {
+    fn start(engine: Arc<EngineStandIn>, run: EngineRun) -> Self {
+        engine.running.fetch_add(1, Ordering::Relaxed);
+        let mut state = engine.state();
+        state.history.runs.push(run);
+        let at = state.history.runs.len() - 1;
+        drop(state);
+        Self { engine, at }
+    }
+
+    fn update(&self, tokens: u64, finished: bool) {
+        let mut state = self.engine.state();
+        let run = &mut state.history.runs[self.at];
+        run.tokens = tokens;
+        run.finished = finished;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.engine.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl EngineStandIn {
+    /// An engine that holds nothing yet.
+    pub fn new(setup: EngineSetup) -> Self {
+        Self {
+            setup,
+            state: Mutex::default(),
+            running: AtomicU64::new(0),
+            faults: FaultSwitch::default(),
+            client: client(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn report(&self) -> EndpointReport {
+        let state = self.state();
+        EndpointReport {
+            memory_bytes: self.setup.memory_bytes,
+            fence: match self.setup.obeys_fence {
+                true => state.fence,
+                false => Fence::default(),
+            },
+            models: state.models.clone(),
+        }
+    }
+
+    /// Takes an order; the load itself goes on in the background.
+    async fn order(self: Arc<Self>, action: &str, body: &[u8]) -> Response {
+        let late_ms = self.faults.get().late_orders_ms;
+        sleep(Duration::from_millis(late_ms)).await;
+        let Ok(order) = serde_json::from_slice::<OrderBody>(body) else {
+            return bad_request("not an order");
+        };
+        let mut state = self.state();
+        if self.setup.obeys_fence && order.fence < state.fence {
+            return json(StatusCode::CONFLICT, &"old fence");
+        }
+        state.fence = state.fence.max(order.fence);
+        state
+            .models
+            .retain(|m| action == "load" || m.model != order.model);
+        let is_held = state.models.iter().any(|m| m.model == order.model);
+        if action != "load" || is_held {
+            return json(StatusCode::OK, &"ok");
+        }
+        let used: u64 = state.models.iter().map(|m| m.bytes).sum();
+        if used + order.bytes > self.setup.memory_bytes {
+            state.history.overcommits += 1;
+            return json(StatusCode::INSUFFICIENT_STORAGE, &"no room");
+        }
+        state.models.push(Resident {
+            model: order.model.clone(),
+            state: Residency::Loading,
+            bytes: order.bytes,
+        });
+        state.models.sort_by(|a, b| a.model.cmp(&b.model));
+        drop(state);
+        tokio::spawn(self.clone().load(order.model));
+        json(StatusCode::OK, &"ok")
+    }
+
+    async fn load(self: Arc<Self>, model: CompactString) {
+        if let Some(weights) = self.setup.weights {
+            let uri = format!("http://{weights}/weights/{model}");
+            let timeout = Duration::from_secs(60);
+            let loaded = fetch(&self.client, Method::GET, &uri, Bytes::new(), timeout).await;
+            if let Err(error) = loaded {
+                eprintln!("load of {model}: {error}");
+                self.state().models.retain(|m| m.model != model);
+                return;
+            }
+        }
+        let mut state = self.state();
+        if let Some(held) = state.models.iter_mut().find(|m| m.model == model) {
+            held.state = Residency::Ready;
+        }
+    }
+
+    async fn chat(self: Arc<Self>, req: Request, body: &[u8]) -> Response {
+        let request = req.header("x-request-id").unwrap_or_default().to_owned();
+        let Ok(asked) = serde_json::from_slice::<Value>(body) else {
+            return bad_request("not JSON");
+        };
+        let model = asked["model"].as_str().unwrap_or_default().to_owned();
+        let is_ready = |m: &Resident| m.model == model && m.state == Residency::Ready;
+        if !self.state().models.iter().any(is_ready) {
+            return json(StatusCode::NOT_FOUND, &"model not loaded");
+        }
+        let workspace = req.header("x-workspace").unwrap_or_default().to_owned();
+        let prompt = asked["messages"].to_string();
+        let tokens = asked["max_tokens"].as_u64().unwrap_or(16);
+        let run = EngineRun {
+            request: request.clone(),
+            workspace: workspace.clone(),
+            model,
+            tokens: 0,
+            finished: false,
+            headers: req.headers.keys().map(|k| k.to_string()).collect(),
+        };
+        let running = Running::start(self.clone(), run);
+        sleep(self.prefill(&workspace, prompt.as_bytes())).await;
+        let prompt_tokens = (prompt.len() / BYTES_PER_TOKEN) as u64;
+        let mut answer = Answer {
+            engine: self.clone(),
+            running,
+            request: request.clone(),
+            sent: 0,
+            tokens,
+            prompt_tokens,
+            is_cut: self.faults.take(|faults| &mut faults.cut_answers),
+        };
+        let mut res = if asked["stream"].as_bool().unwrap_or_default() {
+            streamed(StatusCode::OK, "text/event-stream", answer.into_stream())
+        } else {
+            answer.wait_for_all().await;
+            whole(StatusCode::OK, "application/json", answer.whole_body())
+        };
+        let id = match self.faults.take(|faults| &mut faults.crossed_answers) {
+            true => "00000000000000000000000000000000",
+            false => &request,
+        };
+        set_header(&mut res, "x-request-id", id);
+        res
+    }
+
+    /// The prefill time of a prompt, of which the cache may hold the prefix.
+    fn prefill(&self, workspace: &str, prompt: &[u8]) -> Duration {
+        let prefix = prompt[..prompt.len().min(PREFIX_BYTES)].to_vec();
+        let entry = (CompactString::from(workspace), prefix);
+        let mut state = self.state();
+        let is_cached = state.prefixes.contains(&entry);
+        let cached = if is_cached { entry.1.len() } else { 0 };
+        if !is_cached {
+            state.prefixes.push_back(entry);
+        }
+        if state.prefixes.len() > CACHED_PREFIXES {
+            state.prefixes.pop_front();
+        }
+        let tokens = (prompt.len() - cached) / BYTES_PER_TOKEN;
+        Duration::from_micros(tokens as u64 * self.setup.prefill_us)
+    }
+
+    /// The time of one step with the batch as it is.
+    fn step(&self) -> Duration {
+        let others = self.running.load(Ordering::Relaxed).saturating_sub(1);
+        Duration::from_micros(self.setup.step_us + others * self.setup.batch_us)
+    }
+}
+
+struct Answer {
+    engine: Arc<EngineStandIn>,
+    running: Running,
+    request: String,
+    sent: u64,
+    tokens: u64,
+    prompt_tokens: u64,
+    is_cut: bool,
+}
+
+impl Answer {
+    fn into_stream(
+        self,
+    ) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> + 'static {
+        futures_util::stream::unfold(self, |mut answer| async move {
+            let part = answer.next_part().await?;
+            Some((part, answer))
+        })
+    }
+
+    async fn next_part(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if self.sent > self.tokens {
+            return None;
+        }
+        if self.is_cut && self.sent > self.tokens / 2 {
+            return Some(Err(std::io::Error::other("cut")));
+        }
+        if self.sent == self.tokens {
+            self.sent += 1;
+            self.running.update(self.tokens, true);
+            let chunk = json!({ "id": self.id(), "choices": [], "usage": self.usage() });
+            let text = format!("data: {chunk}\n\ndata: [DONE]\n\n");
+            return Some(Ok(Bytes::from(text)));
+        }
+        sleep(self.engine.step()).await;
+        self.sent += 1;
+        self.running.update(self.sent, false);
+        let delta = json!({ "content": self.token(self.sent) });
+        let chunk = json!({
+            "id": self.id(),
+            "object": "chat.completion.chunk",
+            "choices": [{ "index": 0, "delta": delta }],
+        });
+        Some(Ok(Bytes::from(format!("data: {chunk}\n\n"))))
+    }
+
+    async fn wait_for_all(&mut self) {
+        while self.sent < self.tokens {
+            sleep(self.engine.step()).await;
+            self.sent += 1;
+        }
+        self.running.update(self.tokens, true);
+    }
+
+    fn whole_body(&self) -> Bytes {
+        let content: String = (1..=self.tokens).map(|n| self.token(n)).collect();
+        let message = json!({ "role": "assistant", "content": content });
+        let body = json!({
+            "id": self.id(),
+            "object": "chat.completion",
+            "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+            "usage": self.usage(),
+        });
+        Bytes::from(body.to_string())
+    }
+
+    /// The nth token: it names its request, so that a crossed answer shows.
+    fn token(&self, n: u64) -> String {
+        format!("{}:{n} ", &self.request[..self.request.len().min(8)])
+    }
+
+    fn id(&self) -> String {
+        format!("chatcmpl-{}", self.request)
+    }
+
+    fn usage(&self) -> Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.tokens,
+            "total_tokens": self.prompt_tokens + self.tokens,
+        })
+    }
+}
+
+impl Respond for EngineStandIn {
+    async fn respond(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.uri.path().to_owned();
+        if path == FAULTS_PATH {
+            return self.faults.respond(req).await;
+        }
+        let Ok(body) = req.read_body(8 << 20, Duration::from_secs(5)).await else {
+            return bad_request("the body did not arrive");
+        };
+        if let Err(refusal) = self.faults.before().await {
+            return refusal;
+        }
+        match path.as_str() {
+            "/status" => json(StatusCode::OK, &self.report()),
+            "/models/load" => self.order("load", &body).await,
+            "/models/unload" => self.order("unload", &body).await,
+            "/v1/chat/completions" => self.chat(req, &body).await,
+            "/control/history" => json(StatusCode::OK, &self.state().history),
+            _ => json(StatusCode::NOT_FOUND, &"no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,42 @@
+//! Small stand-ins for the systems around rattanstall, for tests, the quick
+//! start and measurements. They keep nothing and are not part of the product.
+
+pub mod caller;
+pub mod engine;
+pub mod faults;
+pub mod fleet;
+pub mod options;
+pub mod platform;
+pub mod service;
+pub mod store;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rattanstall::http::{Respond, serve};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Serves until SIGTERM or SIGINT, then exits at once.
+pub fn run_until_stopped<S: Respond>(
+    listen: SocketAddr,
+    service: Arc<S>,
+) -> rattanstall::error::Result<()> {
+    let _server = serve(listen, 1, service)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| rattanstall::error::Error::io("starting the runtime", e))?;
+    runtime.block_on(async {
+        let (Ok(mut term), Ok(mut int)) = (
+            signal(SignalKind::terminate()),
+            signal(SignalKind::interrupt()),
+        ) else {
+            return;
+        };
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    });
+    std::process::exit(0);
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,189 @@
+//! Stand-in of the platform: key-value service, instance list and weight store.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use rattanstall::http::{Request, Respond, Response, json, whole};
+use rattanstall::instances::{EndpointSliceList, Instance, LIST_PATH};
+use rattanstall::platform::messages::{LeaseGrantRequest, int};
+use rattanstall::weights::{CATALOGUE_PATH, Catalogue, Model};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+
+use crate::faults::{FAULTS_PATH, FaultSwitch, bad_request};
+use crate::store::Store;
+
+/// The largest body of a call, in bytes.
+const MAX_BODY: usize = 32 << 20;
+
+/// What the stand-in starts with.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSetup {
+    /// Loads at once at full speed.
+    pub loads_at_once: usize,
+    /// How long one load takes, in milliseconds.
+    pub load_ms: u64,
+    /// The weight store's models.
+    #[serde(rename = "model")]
+    pub models: Vec<Model>,
+    /// The instance list.
+    #[serde(rename = "instance")]
+    pub instances: Vec<Instance>,
+}
+
+/// Calls counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads of keys.
+    pub reads: u64,
+    /// Transactions and lease calls.
+    pub writes: u64,
+}
+
+/// The platform's state.
+pub struct PlatformStandIn {
+    store: Mutex<Store>,
+    instances: Mutex<Vec<Instance>>,
+    catalogue: Catalogue,
+    load_ms: u64,
+    loads: Semaphore,
+    faults: FaultSwitch,
+    was_down: AtomicBool,
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl PlatformStandIn {
+    /// A platform that knows these models and instances.
+    pub fn new(setup: PlatformSetup) -> Self {
+        let mut models = setup.models;
+        models.sort_by(|a, b| a.name.cmp(&b.name));
+        Self {
+            store: Mutex::default(),
+            instances: Mutex::new(setup.instances),
+            catalogue: Catalogue {
+                models,
+                concurrent_loads: setup.loads_at_once,
+            },
+            load_ms: setup.load_ms,
+            loads: Semaphore::new(setup.loads_at_once.max(1)),
+            faults: FaultSwitch::default(),
+            was_down: AtomicBool::new(false),
+            reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+        }
+    }
+
+    fn store(&self) -> MutexGuard<'_, Store> {
+        let mut store = self.store.lock().unwrap_or_else(|e| e.into_inner());
+        if self.was_down.swap(false, Ordering::AcqRel) {
+            store.extend_leases();
+        }
+        store.expire();
+        store
+    }
+
+    fn instances(&self) -> MutexGuard<'_, Vec<Instance>> {
+        self.instances.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    async fn call(&self, path: &str, body: &[u8]) -> Response {
+        if let Err(refusal) = self.faults.before().await {
+            self.was_down.store(true, Ordering::Release);
+            return refusal;
+        }
+        let res = match path {
+            "/v3/kv/range" => self.count(&self.reads, body, |store, req| Ok(store.range(&req))),
+            "/v3/kv/txn" => self.count(&self.writes, body, |store, req| store.txn(&req)),
+            "/v3/lease/grant" => self.count(&self.writes, body, |store, req: LeaseGrantRequest| {
+                Ok(store.grant(int(&req.ttl)))
+            }),
+            "/v3/lease/keepalive" => self.count(&self.writes, body, |store, req| {
+                Ok(serde_json::json!({ "result": store.renew(&req) }))
+            }),
+            "/v3/lease/revoke" => self.count(&self.writes, body, |store, req| {
+                store.revoke(&req);
+                Ok(serde_json::json!({}))
+            }),
+            _ => json(StatusCode::NOT_FOUND, &"no such call"),
+        };
+        self.faults.after(res).await
+    }
+
+    fn count<T: DeserializeOwned, R: Serialize>(
+        &self,
+        counter: &AtomicU64,
+        body: &[u8],
+        work: impl FnOnce(&mut Store, T) -> Result<R, String>,
+    ) -> Response {
+        counter.fetch_add(1, Ordering::Relaxed);
+        let request = match serde_json::from_slice(body) {
+            Ok(request) => request,
+            Err(error) => return bad_request(&error.to_string()),
+        };
+        match work(&mut self.store(), request) {
+            Ok(response) => json(StatusCode::OK, &response),
+            Err(message) => bad_request(&message),
+        }
+    }
+
+    /// Takes as long as a load does while few others run.
+    async fn send_weights(&self, model: &str) -> Response {
+        if !self.catalogue.has(model) {
+            return json(StatusCode::NOT_FOUND, &"no such model");
+        }
+        let Ok(_permit) = self.loads.acquire().await else {
+            return crate::faults::unavailable();
+        };
+        tokio::time::sleep(Duration::from_millis(self.load_ms)).await;
+        whole(StatusCode::OK, "application/octet-stream", Bytes::new())
+    }
+
+    fn set_instances(&self, body: &[u8]) -> Response {
+        match serde_json::from_slice(body) {
+            Ok(instances) => {
+                *self.instances() = instances;
+                json(StatusCode::OK, &"ok")
+            }
+            Err(error) => bad_request(&error.to_string()),
+        }
+    }
+
+    fn counts(&self) -> Counts {
+        Counts {
+            reads: self.reads.load(Ordering::Relaxed),
+            writes: self.writes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl Respond for PlatformStandIn {
+    async fn respond(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.uri.path().to_owned();
+        if path == FAULTS_PATH {
+            return self.faults.respond(req).await;
+        }
+        let Ok(body) = req.read_body(MAX_BODY, Duration::from_secs(5)).await else {
+            return bad_request("the body did not arrive");
+        };
+        match (&req.method, path.as_str()) {
+            (&Method::GET, LIST_PATH) => {
+                let list = EndpointSliceList::from_instances(&self.instances());
+                json(StatusCode::OK, &list)
+            }
+            (&Method::GET, CATALOGUE_PATH) => json(StatusCode::OK, &self.catalogue),
+            (&Method::GET, "/control/counts") => json(StatusCode::OK, &self.counts()),
+            (&Method::PUT, "/control/instances") => self.set_instances(&body),
+            (&Method::GET, path) => match path.strip_prefix("/weights/") {
+                Some(model) => self.send_weights(model).await,
+                None => json(StatusCode::NOT_FOUND, &"no such path"),
+            },
+            (_, path) => self.call(path, &body).await,
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,230 @@
+//! The key-value store behind the platform stand-in: etcd semantics in memory.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rattanstall::platform::messages::{
+    Compare, DeleteRangeRequest, Header, KeyValue, LeaseRequest, LeaseResponse, PutRequest,
+    RangeRequest, RangeResponse, RequestOp, ResponseOp, TxnRequest, TxnResponse, decode, encode,
+    int,
+};
+
+/// The largest value, in bytes.
+const MAX_VALUE: usize = 1 << 20;
+/// The most operations in one transaction.
+const MAX_OPS: usize = 128;
+
+#[derive(Clone, Debug)]
+struct Stored {
+    value: Vec<u8>,
+    created: u64,
+    modified: u64,
+    version: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: u64,
+    ttl_s: u64,
+    expires: Instant,
+}
+
+/// Keys, leases and the revision.
+#[derive(Debug)]
+pub struct Store {
+    keys: BTreeMap<Vec<u8>, Stored>,
+    leases: Vec<Lease>,
+    revision: u64,
+    next_lease: u64,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            keys: BTreeMap::new(),
+            leases: Vec::new(),
+            revision: 1,
+            next_lease: 1,
+        }
+    }
+}
+
+impl Store {
+    /// Removes leases that have run out, and their keys.
+    pub fn expire(&mut self) {
+        let now = Instant::now();
+        let is_over = |lease: &Lease| lease.expires <= now;
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|l| is_over(l))
+            .map(|l| l.id)
+            .collect();
+        for id in over {
+            self.drop_lease(id);
+        }
+    }
+
+    /// Gives every lease its full time again, as etcd does after it was down.
+    pub fn extend_leases(&mut self) {
+        for lease in &mut self.leases {
+            lease.expires = Instant::now() + Duration::from_secs(lease.ttl_s);
+        }
+    }
+
+    /// Reads a key or a range.
+    pub fn range(&self, request: &RangeRequest) -> RangeResponse {
+        let (first, end) = (decode(&request.key), decode(&request.range_end));
+        let kvs = match end.is_empty() {
+            true => self
+                .keys
+                .get_key_value(&first)
+                .into_iter()
+                .map(to_kv)
+                .collect(),
+            false => self.keys.range(first..end).map(to_kv).collect(),
+        };
+        RangeResponse {
+            header: self.header(),
+            kvs,
+        }
+    }
+
+    /// Runs a transaction; the error is why it is not valid.
+    pub fn txn(&mut self, request: &TxnRequest) -> Result<TxnResponse, String> {
+        let ops = request.compare.len() + request.success.len().max(request.failure.len());
+        if request.compare.len() > MAX_OPS || request.success.len() > MAX_OPS {
+            return Err(format!("too many operations: {ops}"));
+        }
+        let succeeded = request.compare.iter().all(|compare| self.holds(compare));
+        let ops = match succeeded {
+            true => &request.success,
+            false => &request.failure,
+        };
+        check_puts(ops)?;
+        let is_write = ops
+            .iter()
+            .any(|op| op.request_put.is_some() || op.request_delete_range.is_some());
+        self.revision += u64::from(is_write);
+        let responses = ops.iter().map(|op| self.run(op)).collect();
+        Ok(TxnResponse {
+            header: self.header(),
+            succeeded,
+            responses,
+        })
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, ttl_s: u64) -> LeaseResponse {
+        let id = self.next_lease;
+        self.next_lease += 1;
+        let expires = Instant::now() + Duration::from_secs(ttl_s);
+        self.leases.push(Lease { id, ttl_s, expires });
+        LeaseResponse {
+            id: id.to_string(),
+            ttl: ttl_s.to_string(),
+        }
+    }
+
+    /// Renews a lease; a lease that is gone has no time left.
+    pub fn renew(&mut self, request: &LeaseRequest) -> LeaseResponse {
+        let id = int(&request.id);
+        let lease = self.leases.iter_mut().find(|lease| lease.id == id);
+        let ttl_s = lease.map_or(0, |lease| {
+            lease.expires = Instant::now() + Duration::from_secs(lease.ttl_s);
+            lease.ttl_s
+        });
+        LeaseResponse {
+            id: request.id.clone(),
+            ttl: ttl_s.to_string(),
+        }
+    }
+
+    /// Revokes a lease.
+    pub fn revoke(&mut self, request: &LeaseRequest) {
+        self.drop_lease(int(&request.id));
+    }
+
+    fn drop_lease(&mut self, id: u64) {
+        self.leases.retain(|lease| lease.id != id);
+        let before = self.keys.len();
+        self.keys.retain(|_, stored| stored.lease != id);
+        self.revision += u64::from(self.keys.len() != before);
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let stored = self.keys.get(&decode(&compare.key));
+        match compare.target.as_str() {
+            "VERSION" => stored.map_or(0, |s| s.version) == int(&compare.version),
+            "MOD" => stored.map_or(0, |s| s.modified) == int(&compare.mod_revision),
+            "VALUE" => stored.is_some_and(|s| s.value == decode(&compare.value)),
+            _ => false,
+        }
+    }
+
+    fn run(&mut self, op: &RequestOp) -> ResponseOp {
+        let mut response = ResponseOp::default();
+        if let Some(put) = &op.request_put {
+            self.put(put);
+        }
+        if let Some(delete) = &op.request_delete_range {
+            self.delete(delete);
+        }
+        response.response_range = op.request_range.as_ref().map(|r| self.range(r));
+        response
+    }
+
+    fn put(&mut self, put: &PutRequest) {
+        let revision = self.revision;
+        let stored = self.keys.entry(decode(&put.key)).or_insert(Stored {
+            value: Vec::new(),
+            created: revision,
+            modified: revision,
+            version: 0,
+            lease: 0,
+        });
+        stored.value = decode(&put.value);
+        stored.modified = revision;
+        stored.version += 1;
+        stored.lease = int(&put.lease);
+    }
+
+    fn delete(&mut self, delete: &DeleteRangeRequest) {
+        let (first, end) = (decode(&delete.key), decode(&delete.range_end));
+        self.keys.retain(|key, _| *key < first || *key >= end);
+    }
+
+    fn header(&self) -> Header {
+        Header {
+            revision: self.revision.to_string(),
+        }
+    }
+}
+
+fn check_puts(ops: &[RequestOp]) -> Result<(), String> {
+    let puts: Vec<&PutRequest> = ops
+        .iter()
+        .filter_map(|op| op.request_put.as_ref())
+        .collect();
+    for (at, put) in puts.iter().enumerate() {
+        if decode(&put.value).len() > MAX_VALUE {
+            return Err("a value is too large".to_owned());
+        }
+        if puts[..at].iter().any(|other| other.key == put.key) {
+            return Err("duplicate key given in txn request".to_owned());
+        }
+    }
+    Ok(())
+}
+
+fn to_kv((key, stored): (&Vec<u8>, &Stored)) -> KeyValue {
+    KeyValue {
+        key: encode(key),
+        value: encode(&stored.value),
+        create_revision: stored.created.to_string(),
+        mod_revision: stored.modified.to_string(),
+        version: stored.version.to_string(),
+        lease: stored.lease.to_string(),
+    }
+}
