Stop the HTTP server without waiting for idle connections

Cause: the library's stop, graceful or not, keeps its worker threads for up to 30 s while idle connections are open (seen in a stack trace of a stopping gateway: two workers in the shutdown loop, no request open). Ruled out: the control thread (had ended), open requests (counter was 0). Change: close the listener, give finished answers 100 ms, end the process.

--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -110,16 +109,15 @@
 /// A running HTTP server.
 pub struct Server {
     stop: Box<dyn FnOnce() + Send>,
-    thread: JoinHandle<std::io::Result<()>>,
 }
 
 impl Server {
-    /// Closes the listener and all connections and ends the server.
-    /// Answers that were finished a moment ago still get time to be written.
+    /// Closes the listener and gives finished answers time to be written.
+    /// The server's threads are left to the end of the process: they would
+    /// wait half a minute for idle connections.
     pub fn stop(self) {
-        std::thread::sleep(FLUSH_TIME);
         (self.stop)();
-        let _ = self.thread.join();
+        std::thread::sleep(FLUSH_TIME);
     }
 }
 
@@ -140,9 +138,9 @@
     let handle = server
         .handle()
         .map_err(|e| Error::io("starting the HTTP server", e))?;
-    let thread = std::thread::spawn(move || server.wait());
-    let stop = Box::new(move || handle.stop(false));
-    Ok(Server { stop, thread })
+    std::thread::spawn(move || server.wait());
+    let stop = Box::new(move || handle.stop(true));
+    Ok(Server { stop })
 }
 
 async fn dispatch<S: Respond>(
