--- a/src/escrow.rs
+++ b/src/escrow.rs
@@ -469,7 +469,8 @@
             .term
             .outgoing
             .iter()
-            .filter(|o| !self.has_stopped(now, o))
+            // One that holds a lease again is a member, and must adopt the term itself.
+            .filter(|o| !leased.contains(&o.member) && !self.has_stopped(now, o))
             .cloned()
             .collect();
         for gone in self.term.members.iter().filter(out_of_term) {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod faults;
 pub mod fleet;
+pub mod limits;
 pub mod options;
 pub mod platform;
 pub mod service;
