Compare ways to split limits on the same arrivals

Adds an experiment on the real ledgers and buckets in virtual time: equal split, single owner with a lease, escrowed shares; without failures, with gateways killed and frozen, with the service down for five minutes, with both.

--- /dev/null
+++ b/standins/src/bin/rattanstall-experiment/limits.rs
@@ -0,0 +1,194 @@
+//! Ways to split rate and burst over three gateways.
+//!
+//! Four workspaces send bursts that stay within their rate on average; one
+//! sends five times its rate. The balancer is skewed and turns every 20 s.
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rattanstall::clock::Millis;
+use rattanstall::escrow::Limit;
+use rattanstall_standins::limits::{Fleet, Policy, STEP, Tally, World};
+
+const GATEWAYS: usize = 3;
+const WORLD: World = World {
+    gateways: GATEWAYS,
+    delay_ms: 2,
+    loss_permille: 0,
+};
+/// The workspace that sends five times its rate.
+const NOISY: usize = 4;
+/// Virtual time before anything is counted, in steps.
+const WARM_UP_STEPS: u64 = 1_000;
+/// How long the balancer keeps its weights, in steps.
+const TURN_STEPS: u64 = 2_000;
+/// The balancer's weights, in percent.
+const WEIGHTS: [u64; GATEWAYS] = [80, 15, 5];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failures {
+    None,
+    /// A gateway is killed and replaced every minute, another one is frozen.
+    Gateways,
+    /// The platform's service is down for five minutes.
+    Service,
+    /// Both.
+    Both,
+}
+
+struct Arrival {
+    step: u64,
+    weight: u64,
+    workspace: usize,
+    cost: u64,
+}
+
+/// Prints one line for each policy and kind of failure.
+pub fn run(seed: u64, seconds: u64) {
+    let steps = seconds * 1_000 / STEP.0;
+    let arrivals = record_arrivals(seed, steps);
+    println!(
+        "seed {seed}, {seconds} s, {} requests, 3 gateways",
+        arrivals.len()
+    );
+    println!(
+        "{:<13} {:<9} {:>10} {:>12} {:>12} {:>11} {:>11} {:>9}",
+        "policy",
+        "failures",
+        "over-issue",
+        "within-rate",
+        "noisy: lost",
+        "messages/s",
+        "calls/s",
+        "admitted"
+    );
+    for failures in [
+        Failures::None,
+        Failures::Gateways,
+        Failures::Service,
+        Failures::Both,
+    ] {
+        for policy in [Policy::EqualSplit, Policy::SingleOwner, Policy::Escrow] {
+            let mut fleet = Fleet::new(WORLD, policy, limits(), seed);
+            drive(&mut fleet, &arrivals, steps, failures);
+            print_run(&fleet, policy, failures, seconds);
+        }
+    }
+}
+
+fn limits() -> Vec<Limit> {
+    let limits = [
+        ("web", 6_000, 30_000),
+        ("packing", 500, 3_000),
+        ("mill", 8_000, 40_000),
+        ("tagging", 2_000, 10_000),
+        ("noisy", 2_000, 10_000),
+    ];
+    let limit = |(name, rate, burst): (&str, u64, u64)| Limit {
+        workspace: name.into(),
+        rate,
+        burst,
+    };
+    limits.map(limit).to_vec()
+}
+
+/// Bursts of two seconds at three times the mean, then four quiet seconds.
+fn record_arrivals(seed: u64, steps: u64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    for (workspace, limit) in limits().iter().enumerate() {
+        let mean_cost = (limit.rate / 20).max(20);
+        let is_noisy = workspace == NOISY;
+        let load_percent = if is_noisy { 500 } else { 70 };
+        let per_step = limit.rate * load_percent * STEP.0 / 1_000;
+        for step in 0..steps {
+            let is_burst = is_noisy || (step + workspace as u64 * 170) % 600 < 200;
+            let factor = match (is_noisy, is_burst) {
+                (true, _) => 1,
+                (false, true) => 3,
+                (false, false) => 0,
+            };
+            let chance_permille = per_step * factor * 10 / mean_cost;
+            if rng.random_range(0..1_000) >= chance_permille {
+                continue;
+            }
+            arrivals.push(Arrival {
+                step,
+                weight: rng.random_range(0..100),
+                workspace,
+                cost: rng.random_range(1..=mean_cost * 2),
+            });
+        }
+    }
+    arrivals.sort_by_key(|a| a.step);
+    arrivals
+}
+
+fn drive(fleet: &mut Fleet, arrivals: &[Arrival], steps: u64, failures: Failures) {
+    for _ in 0..WARM_UP_STEPS {
+        fleet.step();
+    }
+    let mut next = 0;
+    for step in 0..steps {
+        fail(fleet, step, steps, failures);
+        while next < arrivals.len() && arrivals[next].step == step {
+            let arrival = &arrivals[next];
+            let at = pick(arrival.weight, step / TURN_STEPS, fleet.len());
+            fleet.arrive(at, arrival.workspace, arrival.cost);
+            next += 1;
+        }
+        fleet.step();
+    }
+}
+
+fn fail(fleet: &mut Fleet, step: u64, steps: u64, failures: Failures) {
+    let minute = 60_000 / STEP.0;
+    if matches!(failures, Failures::Gateways | Failures::Both) {
+        if step % minute == minute / 2 {
+            let name = fleet.kill((step / minute) as usize % fleet.len());
+            fleet.add_gateway(name);
+        }
+        if step % minute == minute * 9 / 10 {
+            fleet.freeze(0, Millis(8_000));
+        }
+    }
+    let is_service = matches!(failures, Failures::Service | Failures::Both);
+    if is_service && step == steps / 3 {
+        fleet.take_service_down(Millis(300_000));
+    }
+}
+
+fn pick(weight: u64, turn: u64, gateways: usize) -> usize {
+    let mut left = weight;
+    for (at, percent) in WEIGHTS.iter().enumerate() {
+        if left < *percent {
+            return (at + turn as usize) % gateways;
+        }
+        left -= percent;
+    }
+    0
+}
+
+fn print_run(fleet: &Fleet, policy: Policy, failures: Failures, seconds: u64) {
+    let tallies = fleet.tallies();
+    let tame = &tallies[..NOISY];
+    let sum = |field: fn(&Tally) -> u64| tame.iter().map(field).sum::<u64>();
+    let asked = sum(|t| t.admitted) + sum(|t| t.refused);
+    let within = percent(sum(|t| t.refused_within_rate), asked);
+    let noisy = tallies[NOISY].tokens / seconds;
+    let cost = fleet.cost();
+    println!(
+        "{:<13} {:<9} {:>10} {:>11.3}% {:>12} {:>11.1} {:>11.1} {:>9}",
+        format!("{policy:?}"),
+        format!("{failures:?}"),
+        fleet.tally().over_issued,
+        within,
+        noisy,
+        cost.messages as f64 / seconds as f64,
+        cost.platform_calls as f64 / seconds as f64,
+        fleet.tally().admitted,
+    );
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    100.0 * part as f64 / whole.max(1) as f64
+}
--- /dev/null
+++ b/standins/src/bin/rattanstall-experiment/main.rs
@@ -0,0 +1,26 @@
+//! Compares policies on the same recorded arrivals, in virtual time.
+
+mod limits;
+
+use std::process::ExitCode;
+
+use rattanstall_standins::options::{parse, value};
+
+fn main() -> ExitCode {
+    let options = [
+        ("name", "the experiment: limits"),
+        ("seed", "seed of arrivals and failures (default 1)"),
+        ("seconds", "virtual time of one run (default 900)"),
+    ];
+    let args = parse("Compares policies in virtual time.", &options);
+    let seed = value(&args, "seed", 1);
+    let seconds = value(&args, "seconds", 900);
+    match value(&args, "name", "limits".to_owned()).as_str() {
+        "limits" => limits::run(seed, seconds),
+        other => {
+            eprintln!("--name: \"{other}\" is unknown; allowed: limits");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/standins/src/limits.rs
+++ b/standins/src/limits.rs
@@ -60,6 +60,13 @@
     pub refused_within_rate: u64,
     /// Requests let through although the whole bucket had no room.
     pub over_issued: u64,
+    /// Tokens let through.
+    pub tokens: u64,
+}
+
+/// What a run cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Cost {
     /// Messages between gateways.
     pub messages: u64,
     /// Calls to the platform's service.
@@ -143,7 +150,8 @@
     /// The owner under [`Policy::SingleOwner`] and when its lease lapses.
     owner: Option<(Member, Millis)>,
     owned: Vec<Bucket>,
-    tally: Tally,
+    tallies: Vec<Tally>,
+    cost: Cost,
 }
 
 impl Fleet {
@@ -162,13 +170,14 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             shadows: limits.iter().map(whole).collect(),
             owned: Vec::new(),
+            tallies: vec![Tally::default(); limits.len()],
+            cost: Cost::default(),
             limits,
             gateways: Vec::new(),
             flying: Vec::new(),
             service: Service::default(),
             next_boot: 1,
             owner: None,
-            tally: Tally::default(),
         };
         for n in 0..world.gateways {
             fleet.add_gateway(format_compact!("gw-{n}"));
@@ -181,14 +190,25 @@
         self.now
     }
 
-    /// What was seen so far.
+    /// What was seen so far, by workspace.
+    pub fn tallies(&self) -> &[Tally] {
+        &self.tallies
+    }
+
+    /// What was seen so far, over all workspaces.
     pub fn tally(&self) -> Tally {
-        self.tally
+        self.tallies.iter().fold(Tally::default(), |sum, t| Tally {
+            admitted: sum.admitted + t.admitted,
+            refused: sum.refused + t.refused,
+            refused_within_rate: sum.refused_within_rate + t.refused_within_rate,
+            over_issued: sum.over_issued + t.over_issued,
+            tokens: sum.tokens + t.tokens,
+        })
     }
 
-    /// Forgets what was seen so far.
-    pub fn reset_tally(&mut self) {
-        self.tally = Tally::default();
+    /// What it cost so far.
+    pub fn cost(&self) -> Cost {
+        self.cost
     }
 
     /// Gateways that run.
@@ -384,7 +404,7 @@
     }
 
     fn send(&mut self, from: &Member, to: Member, packet: Packet) {
-        self.tally.messages += 1;
+        self.cost.messages += 1;
         let is_alone = |m: &Member| {
             let mut gateways = self.gateways.iter();
             gateways.any(|g| g.member == *m && g.alone_until > self.now)
@@ -412,7 +432,7 @@
     }
 
     fn renew(&mut self, at: usize) {
-        self.tally.platform_calls += 1;
+        self.cost.platform_calls += 1;
         if !self.reaches_service(at) {
             return;
         }
@@ -427,7 +447,7 @@
     }
 
     fn read(&mut self, at: usize) {
-        self.tally.platform_calls += 1;
+        self.cost.platform_calls += 1;
         if !self.reaches_service(at) {
             return;
         }
@@ -444,7 +464,7 @@
     }
 
     fn write_term(&mut self, at: usize, term: Term, modified: u64) {
-        self.tally.platform_calls += 1;
+        self.cost.platform_calls += 1;
         if self.reaches_service(at) && modified == self.service.modified {
             self.service.term = term;
             self.service.modified += 1;
@@ -452,7 +472,7 @@
     }
 
     fn reduce(&mut self, at: usize, event: ShareEvent) {
-        self.tally.events += 1;
+        self.cost.events += 1;
         let effects = self.gateways[at].escrow.reduce(self.now, event);
         for effect in effects {
             self.carry_out(at, effect);
@@ -528,7 +548,7 @@
         if owner_at != at && is_apart {
             return false;
         }
-        self.tally.messages += 2 * u64::from(owner_at != at);
+        self.cost.messages += 2 * u64::from(owner_at != at);
         self.owned[request.workspace]
             .charge(now, request.cost)
             .is_ok()
@@ -561,19 +581,22 @@
     }
 
     fn note_admitted(&mut self, request: &Request) {
-        self.tally.admitted += 1;
+        let tally = &mut self.tallies[request.workspace];
+        tally.admitted += 1;
+        tally.tokens += request.cost;
         let shadow = &mut self.shadows[request.workspace];
         if shadow.charge(self.now, request.cost).is_err() {
-            self.tally.over_issued += 1;
+            tally.over_issued += 1;
         }
     }
 
     fn note_refused(&mut self, request: &Request) {
-        self.tally.refused += 1;
+        let tally = &mut self.tallies[request.workspace];
+        tally.refused += 1;
         let shadow = &mut self.shadows[request.workspace];
         if shadow.charge(self.now, request.cost).is_ok() {
             shadow.refund(self.now, request.cost);
-            self.tally.refused_within_rate += 1;
+            tally.refused_within_rate += 1;
         }
     }
 
