Count only the latest run of each instance as a share holder

Cause: after a restart the lease of the earlier run lives on for up to 5 s; the next term listed that run as a member, and could not become active before it lapsed. Ruled out: detection (the new run was read after 1 s).

--- a/src/escrow.rs
+++ b/src/escrow.rs
@@ -115,7 +115,7 @@
         term: Term,
         /// The revision at which it was written.
         modified: u64,
-        /// Holders whose lease is alive, in ascending order.
+        /// Holders whose lease is alive, the latest run of each instance, in ascending order.
         leased: Vec<Member>,
     },
     /// This gateway's lease was renewed.
@@ -775,6 +775,17 @@
     }
 }
 
+/// The latest run of each instance, in ascending order, from all leased runs
+/// with the revision at which each took its lease. An instance runs one
+/// gateway, so a later run proves that the earlier one has ended.
+pub fn latest_runs(mut leased: Vec<(u64, Member)>) -> Vec<Member> {
+    leased.sort_by(|(a_rev, a), (b_rev, b)| (&a.name, b_rev).cmp(&(&b.name, a_rev)));
+    leased.dedup_by(|(_, later), (_, kept)| later.name == kept.name);
+    let mut members: Vec<Member> = leased.into_iter().map(|(_, member)| member).collect();
+    members.sort();
+    members
+}
+
 fn set_share(holding: &Holding) -> ShareEffect {
     ShareEffect::SetShare {
         workspace: holding.limit.workspace.clone(),
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -15,7 +15,7 @@
 use crate::configuration::{read_all, read_head};
 use crate::control::Event;
 use crate::error::Result;
-use crate::escrow::{LEASE_TTL_S, ShareEvent, Term};
+use crate::escrow::{LEASE_TTL_S, ShareEvent, Term, latest_runs};
 use crate::instances::InstanceList;
 use crate::platform::{LeaseId, Platform, Txn};
 use crate::settings::GatewaySettings;
@@ -174,10 +174,10 @@
                     term = serde_json::from_slice(&item.value).unwrap_or_default();
                     modified = item.modified;
                 } else if let Some(holder) = item.key.strip_prefix(HOLDER_PREFIX) {
-                    leased.extend(parse_holder(holder));
+                    leased.extend(parse_holder(holder).map(|member| (item.created, member)));
                 }
             }
-            leased.sort();
+            let leased = latest_runs(leased);
             Event::Share(ShareEvent::Read {
                 sent_at,
                 term,
--- a/standins/src/bin/rattanstall-experiment/limits.rs
+++ b/standins/src/bin/rattanstall-experiment/limits.rs
@@ -56,7 +56,7 @@
         "failures",
         "over-issue",
         "within-rate",
-        "noisy: lost",
+        "noisy tok/s",
         "messages/s",
         "calls/s",
         "admitted"
--- a/standins/src/limits.rs
+++ b/standins/src/limits.rs
@@ -12,7 +12,7 @@
 use rattanstall::bucket::{Bucket, Usage, WHOLE_PPM};
 use rattanstall::clock::Millis;
 use rattanstall::escrow::{
-    Escrow, LEASE_TTL_S, Limit, ShareEffect, ShareEvent, ShareMessage, Term,
+    Escrow, LEASE_TTL_S, Limit, ShareEffect, ShareEvent, ShareMessage, Term, latest_runs,
 };
 use rattanstall::wire::Member;
 
@@ -451,8 +451,10 @@
         if !self.reaches_service(at) {
             return;
         }
-        let mut leased: Vec<Member> = self.service.leases.iter().map(|l| l.0.clone()).collect();
-        leased.sort();
+        let leases = self.service.leases.iter();
+        // A lease stands where it was taken, so its place serves as its revision.
+        let leased = leases.enumerate().map(|(at, l)| (at as u64, l.0.clone()));
+        let leased = latest_runs(leased.collect());
         let event = ShareEvent::Read {
             sent_at: self.now,
             term: self.service.term.clone(),
