Answer health checks by readiness, and let the experiment's balancer follow

Cause: a restarted or frozen gateway got its part of the requests although it could not charge, so refusals counted there were none of the ledger's.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -156,12 +156,22 @@
         Err(Refusal::not_run(Code::RouteDenied))
     }
 
+    /// Tells the balancer whether to send requests here.
     fn health(&self) -> Response {
-        let status = match self.shared.is_draining() {
-            true => StatusCode::SERVICE_UNAVAILABLE,
-            false => StatusCode::OK,
+        let now = self.shared.now();
+        let is_draining = self.shared.is_draining();
+        let is_current = now <= self.shared.keyed_until();
+        let may_charge = now <= self.shared.right_until();
+        let status = match !is_draining && is_current && may_charge {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
         };
-        json_response(status, &json!({ "draining": self.shared.is_draining() }))
+        let body = json!({
+            "draining": is_draining,
+            "configuration_current": is_current,
+            "may_charge": may_charge,
+        });
+        json_response(status, &body)
     }
 
     fn list_models(&self) -> Response {
--- a/standins/src/limits.rs
+++ b/standins/src/limits.rs
@@ -221,6 +221,15 @@
         self.gateways.is_empty()
     }
 
+    /// Whether a balancer that checks health sends requests to a gateway:
+    /// it answers, and it may charge.
+    pub fn is_ready(&self, at: usize) -> bool {
+        let gateway = &self.gateways[at];
+        let is_owner_known = self.policy == Policy::SingleOwner;
+        let may_charge = gateway.right_until >= self.now && gateway.escrow.is_active();
+        gateway.frozen_until <= self.now && (is_owner_known || may_charge)
+    }
+
     /// The sum of the shares of a workspace over all gateways that may charge, in ppm.
     pub fn share_sum(&self, workspace: usize) -> u64 {
         let may_charge = self.gateways.iter().filter(|g| g.right_until >= self.now);
