Carry shares into a new term, and level them while it is quiet

Cause: entering a term cut every share to the equal one and stopped trading until all earlier holders had stopped, so a frozen gateway cost the others their trade for about 4 s; and one gateway often held nearly all of a share when it died. Found by printing shares and refusals second by second. With the service down and all gateways replaced meanwhile nobody can hold share; that is open.

--- a/src/escrow.rs
+++ b/src/escrow.rs
@@ -6,9 +6,9 @@
 //! it (the demarcation protocol of Barbará and Garcia-Molina, 1994).
 //!
 //! Who holds shares is a *term*, a record in the platform's service moved by
-//! compare-and-swap. Within a term gateways trade shares directly. A new term
-//! becomes active on a gateway only when every earlier holder has adopted it or
-//! has certainly stopped.
+//! compare-and-swap. Within a term gateways trade shares directly. Members
+//! carry their shares into a new term and announce them; what nobody carried is
+//! divided once every earlier holder has certainly stopped.
 //!
 //! A holder may spend while it holds a lease of the platform's service. While
 //! the service is unreachable, fresh vouches from a majority of its term extend
@@ -36,6 +36,14 @@
 const GRANT_TIMEOUT: Millis = Millis(2_000);
 /// The least time between two requests for the same workspace.
 const ASK_INTERVAL: Millis = Millis(50);
+/// Time between two questions for shares that were carried into a term.
+const CARRIED_INTERVAL: Millis = Millis(250);
+/// How recently a gateway must have answered to be given share.
+const PARTNER_FRESH: Millis = Millis(800);
+/// Time between two steps back towards equal shares.
+const LEVEL_INTERVAL: Millis = Millis(500);
+/// The share above the equal one that is not worth moving, in parts per million.
+const LEVEL_SLACK_PPM: u64 = 20_000;
 /// The part of the rate that a holder keeps beyond its own use, in percent of that use.
 const HEADROOM_PERCENT: u64 = 125;
 
@@ -84,6 +92,18 @@
         /// Tokens.
         tokens: u64,
     },
+    /// Tells with which shares the sender entered a term.
+    Carried {
+        /// The term.
+        term: u64,
+        /// Workspaces in ascending order, each with its share in parts per million.
+        shares: Vec<(CompactString, u64)>,
+    },
+    /// Asks with which shares the receiver entered a term.
+    WantCarried {
+        /// The term.
+        term: u64,
+    },
     /// Confirms a grant.
     Granted {
         /// The grant's identifier.
@@ -205,7 +225,7 @@
 #[derive(Clone, Debug)]
 struct Holding {
     limit: Limit,
-    /// The share when the term became active.
+    /// The share carried into the term, and once it is active what was added to it.
     base: u64,
     /// What was received less what was given within the term.
     traded: i64,
@@ -259,6 +279,22 @@
     echo: Millis,
 }
 
+/// The shares with which a member entered a term.
+#[derive(Clone, Debug)]
+struct Carried {
+    member: Member,
+    term: u64,
+    shares: Vec<(CompactString, u64)>,
+}
+
+impl Carried {
+    fn share(&self, workspace: &str) -> u64 {
+        let shares = &self.shares;
+        let at = shares.binary_search_by(|(name, _)| name.as_str().cmp(workspace));
+        at.map_or(0, |at| shares[at].1)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PendingGrant {
     id: u64,
@@ -279,12 +315,16 @@
     /// The configuration's workspaces, in ascending order.
     workspaces: Vec<CompactString>,
     peers: Vec<Peer>,
+    /// The latest announcement of each gateway, this one included.
+    carried: Vec<Carried>,
+    wanted_carried_at: Millis,
     grants: Vec<PendingGrant>,
     next_grant: u64,
     next_peer: usize,
     lost: bool,
     draining: bool,
     last_tick: Millis,
+    levelled: Millis,
     /// When each outgoing holder was first seen without a lease.
     outgoing_since: Vec<(Member, Millis)>,
     leased: Vec<Member>,
@@ -305,12 +345,15 @@
             holdings: Vec::new(),
             workspaces: Vec::new(),
             peers: Vec::new(),
+            carried: Vec::new(),
+            wanted_carried_at: Millis::ZERO,
             grants: Vec::new(),
             next_grant: 1,
             next_peer: 0,
             lost: false,
             draining: false,
             last_tick: Millis::ZERO,
+            levelled: Millis::ZERO,
             outgoing_since: Vec::new(),
             leased: Vec::new(),
             instances: None,
@@ -380,6 +423,30 @@
         self.ask(now, out);
         if self.draining {
             self.hand_over_all(out);
+        } else if now.since(self.levelled) >= LEVEL_INTERVAL {
+            self.levelled = now;
+            self.level(now, out);
+        }
+    }
+
+    /// Returns share above the equal one that is not needed here, so that the
+    /// loss of one gateway takes little with it.
+    fn level(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
+        let others = self.live_others(now);
+        if others.is_empty() || !self.active {
+            return;
+        }
+        let equal = WHOLE_PPM / self.term.members.len() as u64;
+        self.next_peer = (self.next_peer + 1) % others.len();
+        for holding in &self.holdings {
+            let surplus = holding.share().saturating_sub(equal).min(holding.spare());
+            if surplus > LEVEL_SLACK_PPM {
+                out.push(ShareEffect::Split {
+                    to: others[self.next_peer].clone(),
+                    workspace: holding.limit.workspace.clone(),
+                    ppm: surplus / 2,
+                });
+            }
         }
     }
 
@@ -423,21 +490,17 @@
         self.try_activate(now, out);
     }
 
-    /// Takes over a later term: shares only shrink until it is active.
+    /// Takes over a later term with the shares held so far, and announces them.
     fn adopt(&mut self, now: Millis, term: Term, out: &mut Vec<ShareEffect>) {
         if term.number <= self.term.number {
             return;
         }
-        let base = if term.members.contains(&self.me) {
-            WHOLE_PPM / term.members.len() as u64
-        } else {
-            0
-        };
+        let is_member = term.members.contains(&self.me);
         let workspaces = &self.workspaces;
         self.holdings
             .retain(|holding| workspaces.binary_search(&holding.limit.workspace).is_ok());
         for holding in &mut self.holdings {
-            holding.base = holding.share().min(base);
+            holding.base = if is_member { holding.share() } else { 0 };
             holding.traded = 0;
             out.push(set_share(holding));
         }
@@ -446,14 +509,60 @@
         self.adopted_at = now;
         self.lost = false;
         self.grants.clear();
-        self.right_until = match self.term.members.contains(&self.me) {
-            true => self.right_until,
-            false => Millis::ZERO,
-        };
-        out.push(ShareEffect::SetRight(self.right_until));
+        if !is_member {
+            self.right_until = Millis::ZERO;
+            out.push(ShareEffect::SetRight(Millis::ZERO));
+            return;
+        }
+        self.announce(out);
         self.extend_right(now, out);
     }
 
+    fn announce(&mut self, out: &mut Vec<ShareEffect>) {
+        let holdings = self.holdings.iter();
+        let shares: Vec<(CompactString, u64)> = holdings
+            .map(|h| (h.limit.workspace.clone(), h.base))
+            .collect();
+        let term = self.term.number;
+        for to in self.term.members.iter().filter(|m| **m != self.me) {
+            let shares = shares.clone();
+            out.push(ShareEffect::Send {
+                to: to.clone(),
+                message: ShareMessage::Carried { term, shares },
+            });
+        }
+        let member = self.me.clone();
+        self.note_carried(Carried {
+            member,
+            term,
+            shares,
+        });
+    }
+
+    fn note_carried(&mut self, carried: Carried) {
+        let mut known = self.carried.iter();
+        if known.any(|c| c.member == carried.member && c.term >= carried.term) {
+            return;
+        }
+        self.carried.retain(|c| c.member != carried.member);
+        self.carried.push(carried);
+    }
+
+    fn carried_of(&self, member: &Member) -> Option<&Carried> {
+        let term = self.term.number;
+        let mut carried = self.carried.iter();
+        carried.find(|c| c.member == *member && c.term == term)
+    }
+
+    /// What each member adds to its share of a workspace when the term becomes
+    /// active: an equal part of what nobody carried into it.
+    fn added_share(&self, workspace: &str) -> u64 {
+        let members = self.term.members.iter();
+        let carried = members.filter_map(|m| self.carried_of(m));
+        let sum: u64 = carried.map(|c| c.share(workspace)).sum();
+        WHOLE_PPM.saturating_sub(sum) / self.term.members.len().max(1) as u64
+    }
+
     /// Proposes a term whose members are the holders of live leases.
     fn propose(&self, now: Millis, sent_at: Millis, leased: &[Member], out: &mut Vec<ShareEffect>) {
         let is_same = leased == self.term.members;
@@ -537,28 +646,49 @@
         is_current.then_some(peer.adopted_at)
     }
 
-    /// Puts the term's shares to use once all earlier holders have let go of theirs.
+    /// Divides what nobody carried into the term, once all members have told
+    /// what they carried and all earlier holders have certainly stopped.
     fn try_activate(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
         if self.active || !self.term.members.contains(&self.me) {
             return;
         }
-        let have_adopted = self
-            .term
-            .members
-            .iter()
-            .all(|member| self.adopted_at_of(member).is_some());
+        let members = self.term.members.iter();
+        let missing: Vec<Member> = members
+            .filter(|m| self.carried_of(m).is_none())
+            .cloned()
+            .collect();
+        if !missing.is_empty() {
+            self.want_carried(now, missing, out);
+            return;
+        }
         let mut outgoing = self.term.outgoing.iter();
-        if !have_adopted || !outgoing.all(|o| self.has_stopped(now, o)) {
+        if !outgoing.all(|o| self.has_stopped(now, o)) {
             return;
         }
         self.active = true;
-        let base = WHOLE_PPM / self.term.members.len() as u64;
-        for holding in &mut self.holdings {
-            holding.base = base;
+        let added: Vec<u64> = self
+            .holdings
+            .iter()
+            .map(|h| self.added_share(&h.limit.workspace))
+            .collect();
+        for (holding, added) in self.holdings.iter_mut().zip(added) {
+            holding.base += added;
             out.push(set_share(holding));
         }
     }
 
+    fn want_carried(&mut self, now: Millis, from: Vec<Member>, out: &mut Vec<ShareEffect>) {
+        if now.since(self.wanted_carried_at) < CARRIED_INTERVAL {
+            return;
+        }
+        self.wanted_carried_at = now;
+        let term = self.term.number;
+        for to in from {
+            let message = ShareMessage::WantCarried { term };
+            out.push(ShareEffect::Send { to, message });
+        }
+    }
+
     fn heard(
         &mut self,
         now: Millis,
@@ -622,7 +752,7 @@
     /// Asks one peer at a time for what is short.
     fn ask(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
         let others: Vec<Member> = self.live_others(now);
-        if others.is_empty() || !self.active || self.draining {
+        if others.is_empty() || self.draining {
             return;
         }
         let term = self.term.number;
@@ -671,6 +801,22 @@
                 let message = ShareMessage::Granted { id };
                 out.push(ShareEffect::Send { to: from, message });
             }
+            ShareMessage::Carried { term, shares } => {
+                let member = from;
+                self.note_carried(Carried {
+                    member,
+                    term,
+                    shares,
+                });
+            }
+            ShareMessage::WantCarried { term } => {
+                let mine = self.carried_of(&self.me).filter(|c| c.term == term);
+                if let Some(mine) = mine {
+                    let shares = mine.shares.clone();
+                    let message = ShareMessage::Carried { term, shares };
+                    out.push(ShareEffect::Send { to: from, message });
+                }
+            }
             ShareMessage::Granted { id } => self.grants.retain(|grant| grant.id != id),
         }
     }
@@ -683,7 +829,7 @@
         tokens: u64,
         out: &mut Vec<ShareEffect>,
     ) {
-        if term != self.term.number || !self.active {
+        if term != self.term.number {
             return;
         }
         let Ok(at) = self.find(&workspace) else {
@@ -744,14 +890,17 @@
     /// Adds workspaces and updates limits. A workspace that left the
     /// configuration stays until the next term, so that late grants find it.
     fn set_workspaces(&mut self, limits: Vec<Limit>, out: &mut Vec<ShareEffect>) {
-        let base = match self.active {
-            true => WHOLE_PPM / self.term.members.len().max(1) as u64,
-            false => 0,
-        };
         for limit in &limits {
             match self.find(&limit.workspace) {
                 Ok(at) => self.holdings[at].limit = limit.clone(),
-                Err(at) => self.holdings.insert(at, Holding::new(limit.clone(), base)),
+                Err(at) => {
+                    // The others treat a workspace that was not announced as carried with 0.
+                    let base = match self.active {
+                        true => self.added_share(&limit.workspace),
+                        false => 0,
+                    };
+                    self.holdings.insert(at, Holding::new(limit.clone(), base));
+                }
             }
         }
         self.workspaces = limits.into_iter().map(|limit| limit.workspace).collect();
@@ -763,7 +912,7 @@
         let fresh = |peer: &&Peer| {
             peer.term == self.term.number
                 && self.term.members.contains(&peer.member)
-                && now.since(peer.echo) <= VOUCH_RIGHT
+                && now.since(peer.echo) <= PARTNER_FRESH
         };
         let live = self.peers.iter().filter(fresh);
         live.map(|peer| peer.member.clone()).collect()
--- a/standins/src/limits.rs
+++ b/standins/src/limits.rs
@@ -226,7 +226,7 @@
     pub fn is_ready(&self, at: usize) -> bool {
         let gateway = &self.gateways[at];
         let is_owner_known = self.policy == Policy::SingleOwner;
-        let may_charge = gateway.right_until >= self.now && gateway.escrow.is_active();
+        let may_charge = gateway.right_until >= self.now;
         gateway.frozen_until <= self.now && (is_owner_known || may_charge)
     }
 
