--- /dev/null
+++ b/standins/tests/configuration.rs
@@ -0,0 +1,251 @@
+//! Accepted configuration is in force everywhere, never reverts, and a
+//! withdrawn key stops working, whatever fails.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use rattanstall::config::Document;
+use rattanstall::error::Error;
+use rattanstall_standins::caller::{Ask, Caller, chat};
+use rattanstall_standins::faults::Faults;
+use rattanstall_standins::fleet::{Fleet, FleetBuilder};
+use rustix::process::Signal;
+
+const CHAT: &str = "/v1/chat/completions";
+/// A bound against tests that hang; no verdict depends on it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn document() -> Document {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/ostekaelderen.toml");
+    Document::read(&file).expect("a valid file")
+}
+
+async fn start() -> Fleet {
+    let builder = FleetBuilder::default().engines(1).models(1).step_us(20_000);
+    let fleet = builder.start().expect("the fleet starts");
+    fleet.apply(document()).await;
+    fleet.wait_ready().await;
+    fleet
+}
+
+fn keyed(key: &str) -> Ask<'_> {
+    Ask {
+        key: Some(key),
+        ..Ask::default()
+    }
+}
+
+/// Asks until the result code is the one wanted.
+async fn wait_for_code(caller: &Caller, key: &str, code: u64) {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let answer = caller.ask(Method::GET, "/v1/models", &keyed(key), "").await;
+        let found = answer.expect("the gateway answers").code();
+        if found == code {
+            return;
+        }
+        assert!(Instant::now() < deadline, "code {found}, not {code}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Opens a stream of 2,000 tokens at 20 ms each and reads its beginning.
+/// Buckets start empty, so the first tries may have to come back.
+async fn open_stream(caller: &Caller, key: &str) -> Incoming {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let body = chat("m0", "hello", 2_000, true).to_string();
+        let res = caller
+            .open(Method::POST, CHAT, &keyed(key), body)
+            .await
+            .unwrap();
+        if res.status() == StatusCode::OK {
+            let mut body = res.into_body();
+            assert!(body.frame().await.is_some_and(|frame| frame.is_ok()));
+            return body;
+        }
+        assert_eq!(res.status(), StatusCode::TOO_MANY_REQUESTS);
+        assert!(Instant::now() < deadline);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_cuts_running_streams() {
+    let fleet = start().await;
+    let key = fleet.create_key("aarhus-web").await;
+    let caller = Caller::new(fleet.gateways[2].listen);
+    let mut body = open_stream(&caller, &key.secret).await;
+    fleet.operator().withdraw_key(&key.digest).await.unwrap();
+    let mut text = String::new();
+    let is_cut = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_default();
+                text.push_str(&String::from_utf8_lossy(&data));
+            }
+            Some(Err(_)) => break true,
+            None => break false,
+        }
+    };
+    assert!(is_cut, "the stream ends in a broken connection");
+    assert!(
+        text.contains("\"code\":2002"),
+        "and in an error event: {text}"
+    );
+    assert!(!text.contains("[DONE]"));
+    for gateway in &fleet.gateways {
+        wait_for_code(&Caller::new(gateway.listen), &key.secret, 2001).await;
+    }
+    engine_was_cancelled(&fleet).await;
+}
+
+async fn engine_was_cancelled(fleet: &Fleet) {
+    let engine = Caller::new(fleet.endpoints[0].listen);
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let history = engine.get("/control/history").await.unwrap();
+        let run = &history["runs"][0];
+        let before = run["tokens"].as_u64().unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let history = engine.get("/control/history").await.unwrap();
+        if history["runs"][0]["tokens"].as_u64().unwrap() == before {
+            assert_eq!(run["finished"], false);
+            return;
+        }
+        assert!(Instant::now() < deadline, "the engine goes on");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_who_leaves_cancels_the_work() {
+    let fleet = start().await;
+    let key = fleet.create_key("aarhus-web").await;
+    let caller = Caller::new(fleet.gateways[0].listen);
+    drop(open_stream(&caller, &key.secret).await);
+    engine_was_cancelled(&fleet).await;
+}
+
+#[tokio::test]
+async fn racing_operators_get_a_conflict_and_lost_replies_are_resolved() {
+    let fleet = start().await;
+    let operator = fleet.operator();
+    let base = operator.current().await.unwrap().revision();
+    let changed = |rate| {
+        let mut document = document();
+        document.workspaces[0].rate_tokens_per_s = rate;
+        document
+    };
+    let (one, other) = tokio::join!(
+        operator.apply(changed(111), Some(base)),
+        operator.apply(changed(222), Some(base)),
+    );
+    let winners = [&one, &other].iter().filter(|r| r.is_ok()).count();
+    assert_eq!(winners, 1, "{one:?} {other:?}");
+    let is_conflict = |r: &Result<u64, Error>| matches!(r, Err(Error::Conflict { .. }));
+    assert!(is_conflict(&one) || is_conflict(&other));
+
+    let lost = Faults {
+        lost_replies: 1,
+        ..Faults::default()
+    };
+    // The append's own reply must be the lost one, so the gateways stand still.
+    for gateway in &fleet.gateways {
+        gateway.signal(Signal::STOP);
+    }
+    let copy = operator.current().await.unwrap();
+    let change = copy.document().diff(&changed(333));
+    Caller::new(fleet.platform.listen).set_faults(&lost).await;
+    let platform = rattanstall::platform::Platform::new(fleet.platform.listen);
+    let apply = "apply-1".into();
+    let revision = rattanstall::configuration::append(&platform, &copy, &apply, &change).await;
+    for gateway in &fleet.gateways {
+        gateway.signal(Signal::CONT);
+    }
+    assert_eq!(revision.unwrap(), copy.revision() + 1);
+    let rate = operator.current().await.unwrap().document().workspaces[0].rate_tokens_per_s;
+    assert_eq!(rate, 333);
+}
+
+#[tokio::test]
+async fn a_frozen_gateway_does_not_serve_a_key_withdrawn_meanwhile() {
+    let fleet = start().await;
+    let key = fleet.create_key("aarhus-web").await;
+    let caller = Caller::new(fleet.gateways[0].listen);
+    wait_for_code(&caller, &key.secret, 0).await;
+    fleet.gateways[0].signal(Signal::STOP);
+    fleet.operator().withdraw_key(&key.digest).await.unwrap();
+    // Longer than a confirmation is relied on.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let asked = {
+        let (caller, secret) = (caller.clone(), key.secret.clone());
+        tokio::spawn(async move {
+            let ask = keyed(&secret);
+            caller
+                .ask(Method::GET, "/v1/models", &ask, "")
+                .await
+                .unwrap()
+                .code()
+        })
+    };
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.gateways[0].signal(Signal::CONT);
+    let code = asked.await.unwrap();
+    assert!([2001, 2005].contains(&code), "served with code {code}");
+    wait_for_code(&caller, &key.secret, 2001).await;
+}
+
+#[tokio::test]
+async fn an_outage_stops_nobody_but_an_isolated_gateway_stops() {
+    let mut fleet = start().await;
+    let key = fleet.create_key("aarhus-web").await;
+    let caller = Caller::new(fleet.gateways[0].listen);
+    wait_for_code(&caller, &key.secret, 0).await;
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    let platform = Caller::new(fleet.platform.listen);
+    platform.set_faults(&outage).await;
+    // Longer than confirmations and leases last.
+    let until = Instant::now() + Duration::from_millis(7_000);
+    while Instant::now() < until {
+        let answer = caller
+            .post(CHAT, &keyed(&key.secret), &chat("m0", "hello", 2, false))
+            .await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    for gateway in &fleet.gateways[1..] {
+        gateway.signal(Signal::STOP);
+    }
+    wait_for_code(&caller, &key.secret, 2005).await;
+    let open = caller
+        .ask(Method::GET, "/opening-hours", &Ask::default(), "")
+        .await;
+    assert_eq!(open.unwrap().status, 200, "open routes go on");
+    for gateway in &fleet.gateways[1..] {
+        gateway.signal(Signal::CONT);
+    }
+    wait_for_code(&caller, &key.secret, 0).await;
+
+    // A gateway that starts during the outage knows no configuration and says so.
+    fleet.gateways[1].kill();
+    fleet.restart(|fleet| &mut fleet.gateways[1]).unwrap();
+    let restarted = Caller::new(fleet.gateways[1].listen);
+    let deadline = Instant::now() + PATIENCE;
+    while restarted.get("/healthz").await.is_none() {
+        assert!(Instant::now() < deadline);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let answer = restarted
+        .ask(Method::GET, "/v1/models", &keyed(&key.secret), "")
+        .await;
+    assert_eq!(answer.unwrap().code(), 2005);
+    platform.set_faults(&Faults::default()).await;
+    wait_for_code(&restarted, &key.secret, 0).await;
+}
