--- a/src/agent.rs
+++ b/src/agent.rs
@@ -28,7 +28,7 @@
 use crate::error::{Error, Result};
 use crate::ledger::{Ledger, Step};
 use crate::metrics::Metrics;
-use crate::platform::Platform;
+use crate::platform::{Platform, Txn};
 use crate::settings::{AgentSettings, EndpointSettings};
 use crate::tls::Identity;
 use crate::transport::{bind, read_frame, write_frame};
@@ -44,10 +44,10 @@
 const ANNOUNCE: Duration = Duration::from_millis(1_500);
 /// Time between two looks at whether a stopping agent is done.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
-/// Time between two attempts to learn the fencing number in force.
+/// The prefix of the keys under which agents take their numbers.
+const NUMBER_PREFIX: &str = "agents/";
+/// Time between two attempts to learn the fencing numbers in force.
 const FENCE_RETRY: Duration = Duration::from_millis(500);
-/// How long an unanswered order may still take effect.
-const LAST_MOMENT: Duration = Duration::from_secs(10);
 
 /// One agent's state. Only its own thread touches it.
 pub(crate) struct Agent {
@@ -63,7 +63,11 @@
     healthy: Cell<bool>,
     /// Calls between their arrival and the last byte of their answer.
     open_calls: Cell<usize>,
-    knows_floor: Cell<bool>,
+    /// Orders this agent's orders at its endpoint after those of earlier agents;
+    /// zero until the platform's service has given one.
+    number: Cell<Fence>,
+    /// Whether the endpoint obeys a later agent.
+    superseded: Cell<bool>,
 }
 
 /// Runs an agent until it is told to stop and its last request is answered.
@@ -82,7 +86,7 @@
     let (tx, calls) = mpsc::unbounded_channel();
     let admin = Admin::start(settings.admin, tx.clone(), metrics.clone())?;
     let agent = Rc::new(Agent::new(settings, metrics));
-    spawn_local(agent.clone().learn_floor());
+    spawn_local(agent.clone().learn_fences());
     spawn_local(agent.clone().poll_endpoint());
     spawn_local(agent.clone().accept(socket.clone()));
     spawn_local(forward_signals(tx));
@@ -99,18 +103,21 @@
 impl Agent {
     fn new(settings: AgentSettings, metrics: Arc<Metrics>) -> Self {
         let queue = Queue::new(settings.max_running, settings.max_waiting);
+        let clock = Clock::system();
+        let ledger = Ledger::new(clock.now(), Millis(settings.last_order_ms));
         Self {
             endpoint: EndpointClient::new(settings.endpoint.address()),
-            clock: Clock::system(),
+            clock,
             metrics,
             queue: RefCell::new(queue),
             grants: RefCell::default(),
-            ledger: RefCell::new(Ledger::new()),
+            ledger: RefCell::new(ledger),
             outcomes: RefCell::default(),
             draining: Cell::new(false),
             healthy: Cell::new(false),
             open_calls: Cell::new(0),
-            knows_floor: Cell::new(false),
+            number: Cell::default(),
+            superseded: Cell::new(false),
             settings,
         }
     }
@@ -148,40 +155,54 @@
             "waiting": status.waiting,
             "open_calls": self.open_calls.get(),
             "fence_floor": self.ledger.borrow().floor(),
-            "knows_floor": self.knows_floor.get(),
+            "number": self.number.get(),
+            "superseded": self.superseded.get(),
             "memory_bytes": status.memory_bytes,
             "memory_used_bytes": self.ledger.borrow().used_bytes(),
             "models": status.models,
         })
     }
 
-    /// Reads which placement leader is in force, before any order is obeyed.
-    async fn learn_floor(self: Rc<Self>) {
+    /// Takes a number of its own and reads which placement leader is in force,
+    /// before any order is obeyed.
+    async fn learn_fences(self: Rc<Self>) {
         let platform = Platform::new(self.settings.platform);
         loop {
-            if let Ok(read) = platform.read(LEADER_KEY).await {
-                // Without a leader, the next one is created after this revision.
-                let leader = read.items.first();
-                let floor = leader.map_or(read.revision + 1, |item| item.created);
-                self.ledger.borrow_mut().raise_floor(Fence(floor));
-                self.knows_floor.set(true);
-                return;
+            match self.take_number(&platform).await {
+                Ok(number) => {
+                    self.number.set(number);
+                    return;
+                }
+                Err(error) => log::warn!("fencing numbers: {error}"),
             }
             sleep(FENCE_RETRY).await;
         }
     }
 
+    async fn take_number(&self, platform: &Platform) -> Result<Fence> {
+        let key = format!("{NUMBER_PREFIX}{}", self.settings.endpoint.address());
+        let txn = Txn::new().put(&key, self.settings.name.as_bytes());
+        let number = platform.run(&txn).await?.revision;
+        let read = platform.read(LEADER_KEY).await?;
+        // Without a leader, the next one is created after this revision.
+        let leader = read.items.first();
+        let floor = leader.map_or(read.revision + 1, |item| item.created);
+        self.ledger.borrow_mut().raise_floor(Fence(floor));
+        Ok(Fence(number))
+    }
+
     /// Reads the endpoint's own report again and again.
     async fn poll_endpoint(self: Rc<Self>) {
         let is_engine = matches!(self.settings.endpoint, EndpointSettings::Engine { .. });
         loop {
-            let ticket = self.ledger.borrow().report_ticket();
+            let ticket = self.ledger.borrow().report_ticket(self.now());
             let is_up = if is_engine {
                 match self.endpoint.report().await {
                     Ok(report) => {
                         let now = self.clock.now();
                         self.ledger.borrow_mut().report(now, ticket, &report);
-                        true
+                        self.check_superseded(report.fence);
+                        !self.superseded.get()
                     }
                     Err(error) => {
                         log::debug!("endpoint report: {error}");
@@ -198,6 +219,14 @@
         }
     }
 
+    /// Steps back for good if the endpoint has seen a later agent.
+    fn check_superseded(&self, seen: Fence) {
+        let number = self.number.get();
+        if number != Fence::default() && seen > number && !self.superseded.replace(true) {
+            log::error!("a later agent serves this endpoint");
+        }
+    }
+
     async fn accept(self: Rc<Self>, socket: Endpoint) {
         while let Some(incoming) = socket.accept().await {
             let agent = self.clone();
@@ -242,17 +271,21 @@
 
     /// Checks an order against the ledger, then sends it to the endpoint.
     async fn obey(self: &Rc<Self>, order: Order) -> OrderReply {
-        if !self.knows_floor.get() {
+        let number = self.number.get();
+        if number == Fence::default() {
             return Err(Code::PlatformDown);
         }
+        if self.superseded.get() {
+            return Err(Code::OldFence);
+        }
         if self.draining.get() && order.action == Action::Load {
             return Err(Code::Draining);
         }
-        let step = self.ledger.borrow_mut().order(&order)?;
+        let step = self.ledger.borrow_mut().order(self.now(), &order)?;
         if step == Step::Nothing {
             return Ok(());
         }
-        match self.endpoint.order(&order).await {
+        match self.endpoint.order(&order, number).await {
             OrderResult::Accepted => self.settle(&order),
             OrderResult::Refused => {
                 self.ledger.borrow_mut().rejected(&order.model);
@@ -261,7 +294,7 @@
             OrderResult::Unknown => {
                 let agent = self.clone();
                 spawn_local(async move {
-                    sleep(LAST_MOMENT).await;
+                    sleep(Duration::from_millis(agent.settings.last_order_ms)).await;
                     agent.settle(&order);
                 });
                 return Err(Code::OutcomeUnknown);
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -88,8 +88,9 @@
         answer.is_ok()
     }
 
-    /// Sends an order.
-    pub async fn order(&self, order: &Order) -> OrderResult {
+    /// Sends an order under the agent's own number, which grows from one agent
+    /// of the endpoint to the next.
+    pub async fn order(&self, order: &Order, number: Fence) -> OrderResult {
         let action = match order.action {
             Action::Load => "load",
             Action::Unload => "unload",
@@ -97,7 +98,7 @@
         let uri = format!("{}/models/{action}", self.base);
         let body = OrderBody {
             model: &order.model,
-            fence: order.fence,
+            fence: number,
             bytes: order.bytes,
         };
         let body = serde_json::to_vec(&body).unwrap_or_default();
--- a/src/bin/rattanstallctl/commands.rs
+++ b/src/bin/rattanstallctl/commands.rs
@@ -283,9 +283,10 @@
         (is("draining", true), "shutting down"),
         (is("healthy", false), "its endpoint does not answer"),
         (
-            is("knows_floor", false),
+            state["number"] == json!(0),
             "takes no orders: the service did not answer yet",
         ),
+        (is("superseded", true), "a later agent serves its endpoint"),
         (
             is("is_current", false),
             "configuration not confirmed: keyed routes refused",
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -29,16 +29,20 @@
 pub struct EndpointReport {
     /// The endpoint's memory, in bytes.
     pub memory_bytes: u64,
-    /// The highest fencing number the endpoint has seen, if it keeps one.
+    /// The highest agent number the endpoint has seen, if it keeps one.
     pub fence: Fence,
     /// The models it holds or loads.
     pub models: Vec<Resident>,
 }
 
 /// The account of one endpoint's memory.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Ledger {
     memory_bytes: Option<u64>,
+    /// How long after it was sent an order may still take effect.
+    last_moment: Millis,
+    /// Orders of an earlier agent may take effect until then.
+    orders_from: Millis,
     floor: Fence,
     residents: Vec<Entry>,
     /// Counts orders and answers, so that a report read across one is passed over.
@@ -47,7 +51,10 @@
 
 /// Marks the moment at which a report was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportTicket(u64);
+pub struct ReportTicket {
+    changes: u64,
+    asked_at: Millis,
+}
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -59,9 +66,17 @@
 }
 
 impl Ledger {
-    /// A ledger that knows nothing and accepts no order.
-    pub fn new() -> Self {
-        Self::default()
+    /// A ledger that knows nothing. It accepts no order before the endpoint has
+    /// reported, and before an earlier agent's last order can no longer take effect.
+    pub fn new(now: Millis, last_moment: Millis) -> Self {
+        Self {
+            memory_bytes: None,
+            last_moment,
+            orders_from: now + last_moment,
+            floor: Fence::default(),
+            residents: Vec::new(),
+            changes: 0,
+        }
     }
 
     /// Learns the lowest fencing number that may be obeyed.
@@ -75,15 +90,15 @@
     }
 
     /// Checks an order and reserves what it needs, before it is sent on.
-    pub fn order(&mut self, order: &Order) -> Result<Step, Code> {
+    pub fn order(&mut self, now: Millis, order: &Order) -> Result<Step, Code> {
         if order.fence < self.floor || order.fence == Fence::default() {
             return Err(Code::OldFence);
         }
-        let memory_bytes = self.memory_bytes.ok_or(Code::NoEndpoint)?;
+        let memory_bytes = self.memory_bytes.ok_or(Code::Busy)?;
         self.floor = order.fence;
         self.changes += 1;
         let step = match order.action {
-            Action::Load => self.load(order, memory_bytes)?,
+            Action::Load => self.load(now, order, memory_bytes)?,
             Action::Unload => self.unload(order),
         };
         self.assert_within_memory();
@@ -96,7 +111,7 @@
         if let Ok(at) = self.find(model) {
             let entry = &mut self.residents[at];
             entry.in_flight = entry.in_flight.saturating_sub(1);
-            entry.trusted_until = now + REPORT_LAG;
+            entry.trusted_until = entry.trusted_until.max(now + REPORT_LAG);
         }
     }
 
@@ -114,19 +129,22 @@
     }
 
     /// To be taken before a report is asked for.
-    pub fn report_ticket(&self) -> ReportTicket {
-        ReportTicket(self.changes)
+    pub fn report_ticket(&self, now: Millis) -> ReportTicket {
+        ReportTicket {
+            changes: self.changes,
+            asked_at: now,
+        }
     }
 
     /// Takes in the endpoint's own report. One that was asked for before the
-    /// last order or answer is passed over, and so is a lagging report's
+    /// last order or answer is passed over, and one that was asked for while an
+    /// earlier agent's orders could still arrive. So is a lagging report's
     /// silence about a model that was ordered a moment ago.
     pub fn report(&mut self, now: Millis, ticket: ReportTicket, report: &EndpointReport) {
-        if ticket.0 != self.changes {
+        if ticket.changes != self.changes || ticket.asked_at < self.orders_from {
             return;
         }
         self.memory_bytes = Some(report.memory_bytes);
-        self.raise_floor(report.fence);
         let in_report = |entry: &Entry| {
             report
                 .models
@@ -163,7 +181,7 @@
         }
     }
 
-    fn load(&mut self, order: &Order, memory_bytes: u64) -> Result<Step, Code> {
+    fn load(&mut self, now: Millis, order: &Order, memory_bytes: u64) -> Result<Step, Code> {
         match self.find(&order.model) {
             Ok(at) => match self.residents[at].resident.state {
                 Residency::Ready | Residency::Loading => Ok(Step::Nothing),
@@ -182,7 +200,7 @@
                 let entry = Entry {
                     resident,
                     in_flight: 1,
-                    trusted_until: Millis::ZERO,
+                    trusted_until: now + self.last_moment,
                 };
                 self.residents.insert(at, entry);
                 Ok(Step::Forward)
@@ -206,7 +224,8 @@
                 let entry = &mut self.residents[at];
                 entry.resident.bytes = entry.resident.bytes.max(held.bytes);
                 let is_leaving = entry.resident.state == Residency::Unloading;
-                if !(is_leaving && (entry.in_flight > 0 || now < entry.trusted_until)) {
+                let may_be_going = entry.in_flight > 0 || now < entry.trusted_until;
+                if !(is_leaving && may_be_going) {
                     entry.resident.state = held.state;
                 }
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -122,6 +122,10 @@
     /// Requests that may wait, 0 to 65,536.
     #[serde(default = "default_waiting")]
     pub max_waiting: usize,
+    /// How long after it was sent an order may still take effect at the
+    /// endpoint, in milliseconds, 100 to 600,000.
+    #[serde(default = "default_last_order_ms")]
+    pub last_order_ms: u64,
     /// TLS material for peers.
     pub tls: TlsSettings,
     /// The log.
@@ -129,6 +133,10 @@
     pub log: LogSettings,
 }
 
+fn default_last_order_ms() -> u64 {
+    10_000
+}
+
 fn default_threads() -> usize {
     2
 }
@@ -167,6 +175,7 @@
         check_name("zone", &self.zone)?;
         check_range("max_running", self.max_running, 1, 4_096)?;
         check_range("max_waiting", self.max_waiting, 0, 65_536)?;
+        check_range("last_order_ms", self.last_order_ms as usize, 100, 600_000)?;
         check_level(&self.log)
     }
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -26,6 +26,7 @@
 const POLL: Duration = Duration::from_millis(50);
 
 static FLEETS: AtomicU32 = AtomicU32::new(0);
+static PORTS: AtomicU32 = AtomicU32::new(0);
 
 /// What a fleet consists of.
 #[derive(Clone, Debug)]
@@ -40,6 +41,7 @@
     step_us: u64,
     max_running: usize,
     obeys_fence: bool,
+    last_order_ms: u64,
     log_level: String,
 }
 
@@ -56,6 +58,7 @@
             step_us: 2_000,
             max_running: 32,
             obeys_fence: true,
+            last_order_ms: 200,
             log_level: "info".to_owned(),
         }
     }
@@ -93,6 +96,8 @@
         max_running: usize,
         /// Whether engines refuse old fencing numbers.
         obeys_fence: bool,
+        /// How long after it was sent an order may still take effect, in milliseconds.
+        last_order_ms: u64,
     }
 
     /// Writes the settings, starts the processes and returns at once.
@@ -136,7 +141,7 @@
         let dir = std::env::temp_dir().join(name);
         fs::create_dir_all(&dir)?;
         rattanstall::tls::create_material(&dir).map_err(io::Error::other)?;
-        let mut ports = Ports::default();
+        let mut ports = Ports;
         let platform_addr = ports.next()?;
         let mut instances = Vec::new();
         let mut gateways = Vec::new();
@@ -426,21 +431,27 @@
     }
 }
 
-/// Ports that nothing listened on a moment ago, for TCP and UDP.
-#[derive(Default)]
-struct Ports {
-    given: HashSet<u16>,
-}
+/// Ports for TCP and UDP that nothing listens on. They lie below the range from
+/// which the system takes the ports of outgoing connections, so that none of
+/// those can take one before its process is up.
+struct Ports;
 
 impl Ports {
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+
     fn next(&mut self) -> io::Result<SocketAddr> {
-        loop {
-            let listener = TcpListener::bind(("127.0.0.1", 0))?;
-            let addr = listener.local_addr()?;
-            if UdpSocket::bind(addr).is_ok() && self.given.insert(addr.port()) {
+        // Runs side by side begin at different places.
+        let start = std::process::id().wrapping_mul(7_919);
+        for _ in 0..Self::COUNT {
+            let number = start.wrapping_add(PORTS.fetch_add(1, Ordering::Relaxed));
+            let port = (Self::FIRST + number % Self::COUNT) as u16;
+            let addr = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
                 return Ok(addr);
             }
         }
+        Err(io::Error::other("no free port"))
     }
 }
 
@@ -515,10 +526,11 @@
     };
     format!(
         "name = \"agent-{n}\"\nzone = \"{}\"\npeer = \"{peer}\"\nadmin = \"{admin}\"\n\
-         platform = \"{platform}\"\nmax_running = {}\n\n[endpoint]\n{kind}\n\
+         platform = \"{platform}\"\nmax_running = {}\nlast_order_ms = {}\n\n[endpoint]\n{kind}\n\
          address = \"{endpoint}\"\n\n[log]\nlevel = \"{}\"\n\n{}",
         zone(n),
         plan.max_running,
+        plan.last_order_ms,
         plan.log_level,
         tls_section(dir)
     )
