--- a/src/control.rs
+++ b/src/control.rs
@@ -394,9 +394,10 @@
             revision: beat.revision,
             draining: beat.draining,
         };
-        self.peers.retain(|p| p.member.name != from.name);
-        self.peers.push(peer);
-        self.peers.sort_by(|a, b| a.member.cmp(&b.member));
+        match self.find_peer(&from.name) {
+            Ok(at) => self.peers[at] = peer,
+            Err(at) => self.peers.insert(at, peer),
+        }
         if beat.echo.is_some() && echo >= beat.confirmed_ago {
             // Written after `echo`, so the peer's own confirmation is at least that recent.
             let confirmed_at = echo - beat.confirmed_ago;
@@ -409,6 +410,11 @@
         self.share(now, event, out);
     }
 
+    fn find_peer(&self, name: &str) -> Result<usize, usize> {
+        self.peers
+            .binary_search_by(|p| p.member.name.as_str().cmp(name))
+    }
+
     fn heartbeat(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.heartbeat_at = now;
         let gateways = self.instances.iter().filter(|i| i.role == Role::Gateway);
@@ -416,8 +422,10 @@
         let confirmed_at = self.configuration.confirmed_at();
         let confirmed_ago = confirmed_at.map_or(Millis(u64::MAX), |at| now.since(at));
         for instance in others {
-            let mut peers = self.peers.iter();
-            let peer = peers.find(|p| p.member.name == instance.name);
+            let peer = self
+                .find_peer(&instance.name)
+                .ok()
+                .map(|at| &self.peers[at]);
             let heartbeat = Heartbeat {
                 sent_at: now,
                 echo: peer.map(|p| p.sent_at),
--- a/src/escrow.rs
+++ b/src/escrow.rs
@@ -697,20 +697,24 @@
         echo: Millis,
         out: &mut Vec<ShareEffect>,
     ) {
-        match self.peers.iter_mut().find(|peer| peer.member == from) {
-            Some(peer) => {
+        match self.peers.binary_search_by(|peer| peer.member.cmp(&from)) {
+            Ok(at) => {
+                let peer = &mut self.peers[at];
                 if term > peer.term {
                     peer.term = term;
                     peer.adopted_at = now;
                 }
                 peer.echo = peer.echo.max(echo);
             }
-            None => self.peers.push(Peer {
-                member: from,
-                term,
-                adopted_at: now,
-                echo,
-            }),
+            Err(at) => {
+                let peer = Peer {
+                    member: from,
+                    term,
+                    adopted_at: now,
+                    echo,
+                };
+                self.peers.insert(at, peer);
+            }
         }
         self.extend_right(now, out);
         self.try_activate(now, out);
--- a/standins/src/bin/rattanstall-experiment/slopes.rs
+++ b/standins/src/bin/rattanstall-experiment/slopes.rs
@@ -89,8 +89,10 @@
     let sizes = [100, 1_000, 5_000, 20_000];
     let points = sizes.map(|keys| {
         let mut copy = Configuration::default();
-        let mut first = Change::default();
-        first.set = document(keys);
+        let first = Change {
+            set: document(keys),
+            ..Change::default()
+        };
         copy.extend(vec![entry(1, first)]);
         let rounds = 40;
         let start = Instant::now();
@@ -192,7 +194,9 @@
         let start = Instant::now();
         for n in 0..rounds {
             let now = Millis(10_000 + n * 50);
-            let usage = cells.iter().map(|c| c.with(|b| b.take_usage(now, &c.workspace)));
+            let usage = cells
+                .iter()
+                .map(|c| c.with(|b| b.take_usage(now, &c.workspace)));
             control.reduce(now, Event::Tick(usage.collect()));
         }
         (workspaces as f64, micros(start) / rounds as f64)
@@ -247,7 +251,10 @@
         ("heartbeat", size(&|| frame_len(&beat))),
         ("agent report, 8 models", size(&|| frame_len(&full))),
         ("agent report, load only", size(&|| frame_len(&load))),
-        ("configuration change, one key", size(&|| frame_len(&change))),
+        (
+            "configuration change, one key",
+            size(&|| frame_len(&change)),
+        ),
     ]
 }
 
@@ -383,6 +390,10 @@
     let sxy: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
     let syy: f64 = points.iter().map(|p| (p.1 - my).powi(2)).sum();
     let slope = sxy / sxx;
-    let fit = if syy == 0.0 { 1.0 } else { sxy * sxy / (sxx * syy) };
+    let fit = if syy == 0.0 {
+        1.0
+    } else {
+        sxy * sxy / (sxx * syy)
+    };
     (slope, my - slope * mx, fit)
 }
--- a/standins/src/bin/rattanstall-load/main.rs
+++ b/standins/src/bin/rattanstall-load/main.rs
@@ -1,5 +1,7 @@
 //! Load on a running system, and the latency that the system adds.
 
+mod idle;
+
 use std::error::Error;
 use std::time::{Duration, Instant};
 
@@ -16,7 +18,7 @@
     let options = [
         (
             "mode",
-            "overhead: direct against through the system; target: a running gateway",
+            "overhead: direct against through the system; idle: what control costs; target: a running gateway",
         ),
         ("rate", "requests a second (default 200)"),
         ("seconds", "time of each run (default 5)"),
@@ -50,7 +52,10 @@
             println!("{}", report.line(&model));
             Ok(())
         }
-        other => Err(format!("--mode: \"{other}\" is unknown; allowed: overhead, target").into()),
+        "idle" => runtime.block_on(idle::measure(seconds)),
+        other => {
+            Err(format!("--mode: \"{other}\" is unknown; allowed: overhead, idle, target").into())
+        }
     }
 }
 
