Planned stops under load: models move first, nothing is cut

Cause: a stopping agent refused new calls at once, so a model whose only copy it held could not be reached until it was loaded elsewhere. Change: a stopping agent goes on for 2.5 s with calls that have nowhere else to go; gateways prefer agents that stay; the placement leader loads its models elsewhere at once, also when the platform's list only says that an instance is leaving.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -40,8 +40,9 @@
 
 /// The key of the placement leader in the platform's service.
 pub const LEADER_KEY: &str = "leader/placement";
-/// How long a stopping agent announces itself before it may end.
-const ANNOUNCE: Duration = Duration::from_millis(1_500);
+/// How long a stopping agent still takes calls that have nowhere else to go,
+/// while its models are loaded elsewhere.
+const ANNOUNCE: Millis = Millis(2_500);
 /// Time between two looks at whether a stopping agent is done.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// The prefix of the keys under which agents take their numbers.
@@ -59,7 +60,7 @@
     grants: RefCell<Vec<(Ticket, oneshot::Sender<()>)>>,
     ledger: RefCell<Ledger>,
     outcomes: RefCell<Outcomes>,
-    draining: Cell<bool>,
+    draining_since: Cell<Option<Millis>>,
     healthy: Cell<bool>,
     /// Calls between their arrival and the last byte of their answer.
     open_calls: Cell<usize>,
@@ -113,7 +114,7 @@
             grants: RefCell::default(),
             ledger: RefCell::new(ledger),
             outcomes: RefCell::default(),
-            draining: Cell::new(false),
+            draining_since: Cell::new(None),
             healthy: Cell::new(false),
             open_calls: Cell::new(0),
             number: Cell::default(),
@@ -133,7 +134,7 @@
             name: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
             kind,
-            draining: self.draining.get(),
+            draining: self.draining_since.get().is_some(),
             healthy: self.healthy.get(),
             running: queue.running() as u32,
             waiting: queue.waiting() as u32,
@@ -278,7 +279,7 @@
         if self.superseded.get() {
             return Err(Code::OldFence);
         }
-        if self.draining.get() && order.action == Action::Load {
+        if self.draining_since.get().is_some() && order.action == Action::Load {
             return Err(Code::Draining);
         }
         let step = self.ledger.borrow_mut().order(self.now(), &order)?;
@@ -332,16 +333,23 @@
         }
     }
 
-    /// Takes no new work, tells the gateways, and waits for the last answer.
+    /// Tells the gateways, takes no new work after a moment, and waits for the
+    /// last answer.
     async fn drain(&self) {
-        self.draining.set(true);
+        self.draining_since.set(Some(self.now()));
         log::info!("draining, {} calls open", self.open_calls.get());
-        sleep(ANNOUNCE).await;
+        sleep(ANNOUNCE.as_duration()).await;
         while self.open_calls.get() > 0 {
             sleep(DRAIN_POLL).await;
         }
     }
 
+    /// Whether a stopping agent takes no call any more.
+    fn is_closed(&self) -> bool {
+        let since = self.draining_since.get();
+        since.is_some_and(|since| self.now().since(since) >= ANNOUNCE)
+    }
+
     fn now(&self) -> Millis {
         self.clock.now()
     }
--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -101,7 +101,7 @@
     }
 
     fn check(&self, call: &Call) -> Result<(), Code> {
-        if self.draining.get() || self.superseded.get() {
+        if self.is_closed() || self.superseded.get() {
             return Err(Code::Draining);
         }
         let is_here = match (&call.target, &self.settings.endpoint) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -181,11 +181,22 @@
         View {
             revision: self.configuration.revision(),
             document: self.configuration.document().clone(),
-            agents: self.agents.clone(),
+            agents: self.agents_as_listed(),
             catalogue: self.catalogue.clone(),
         }
     }
 
+    /// The agents' reports; one whose instance the platform is about to take
+    /// away counts as draining.
+    fn agents_as_listed(&self) -> Vec<AgentStatus> {
+        let mut agents = self.agents.clone();
+        for agent in &mut agents {
+            let found = self.instances.binary_search_by(|i| i.name.cmp(&agent.name));
+            agent.draining |= found.is_ok_and(|at| self.instances[at].leaving);
+        }
+        agents
+    }
+
     /// The configuration's copy.
     pub fn configuration(&self) -> &Configuration {
         &self.configuration
@@ -473,10 +484,10 @@
         if self.draining {
             return;
         }
-        let agents = &self.agents;
+        let agents = self.agents_as_listed();
         let placings = self
             .placement
-            .plan(now, fence, &self.catalogue, agents, &self.demand);
+            .plan(now, fence, &self.catalogue, &agents, &self.demand);
         out.extend(placings.into_iter().map(Effect::Order));
     }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,7 +10,7 @@
 use super::shared::Shared;
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
-use crate::route::{Candidate, can_serve, choose};
+use crate::route::{Candidate, can_serve, choose, prefer_staying};
 use crate::transport::FrameReader;
 use crate::wire::{Call, Hello, Reply};
 
@@ -94,7 +94,9 @@
             Some(Candidate { status, in_flight })
         })
         .collect();
-    let chosen = choose(&candidates, tried, rand::random())?;
+    let fresh = |c: &Candidate| !tried.contains(&c.status.name);
+    let candidates = prefer_staying(candidates.into_iter().filter(fresh).collect());
+    let chosen = choose(&candidates, rand::random())?;
     link_of(&chosen.name).cloned()
 }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,7 +1,5 @@
 //! Choice of the endpoint for one request.
 
-use compact_str::CompactString;
-
 use crate::wire::{AgentStatus, EndpointKind, Residency, Target};
 
 /// What a choice is made from: an agent's last report and the gateway's own count.
@@ -25,7 +23,7 @@
 
 /// Whether an agent can serve a target now, as far as its report tells.
 pub fn can_serve(status: &AgentStatus, target: &Target) -> bool {
-    if status.draining || !status.healthy {
+    if !status.healthy {
         return false;
     }
     match (&status.kind, target) {
@@ -35,25 +33,24 @@
     }
 }
 
+/// Drops agents that are going, unless only such are left.
+pub fn prefer_staying(mut candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    if candidates.iter().any(|c| !c.status.draining) {
+        candidates.retain(|c| !c.status.draining);
+    }
+    candidates
+}
+
 /// Power of two choices: of two candidates picked at random, the less loaded one.
-/// Agents in `tried` have refused already.
-pub fn choose<'a>(
-    candidates: &[Candidate<'a>],
-    tried: &[CompactString],
-    random: u64,
-) -> Option<&'a AgentStatus> {
-    let fresh: Vec<&Candidate> = candidates
-        .iter()
-        .filter(|c| !tried.contains(&c.status.name))
-        .collect();
-    let count = fresh.len() as u64;
-    let first = fresh.get(random.checked_rem(count)? as usize)?;
+pub fn choose<'a>(candidates: &[Candidate<'a>], random: u64) -> Option<&'a AgentStatus> {
+    let count = candidates.len() as u64;
+    let first = &candidates[random.checked_rem(count)? as usize];
     if count == 1 {
         return Some(first.status);
     }
     // Skips the first choice, so the second one always differs.
     let step = 1 + (random >> 32) % (count - 1);
-    let second = fresh[((random % count + step) % count) as usize];
+    let second = &candidates[((random % count + step) % count) as usize];
     match second.load() < first.load() {
         true => Some(second.status),
         false => Some(first.status),
