--- a/standins/src/bin/rattanstall-load/main.rs
+++ b/standins/src/bin/rattanstall-load/main.rs
@@ -1,6 +1,7 @@
 //! Load on a running system, and the latency that the system adds.
 
 mod idle;
+mod tokens;
 
 use std::error::Error;
 use std::time::{Duration, Instant};
@@ -18,7 +19,7 @@
     let options = [
         (
             "mode",
-            "overhead: direct against through the system; idle: what control costs; target: a running gateway",
+            "overhead: direct against through the system; idle: what control costs; tokens: what a streamed token costs; target: a running gateway",
         ),
         ("rate", "requests a second (default 200)"),
         ("seconds", "time of each run (default 5)"),
@@ -53,9 +54,11 @@
             Ok(())
         }
         "idle" => runtime.block_on(idle::measure(seconds)),
-        other => {
-            Err(format!("--mode: \"{other}\" is unknown; allowed: overhead, idle, target").into())
-        }
+        "tokens" => runtime.block_on(tokens::measure()),
+        other => Err(format!(
+            "--mode: \"{other}\" is unknown; allowed: overhead, idle, tokens, target"
+        )
+        .into()),
     }
 }
 
--- a/standins/tests/leaving.rs
+++ b/standins/tests/leaving.rs
@@ -83,7 +83,9 @@
         assert_eq!(answer.status, 200, "{answer:?}");
         return;
     }
-    let body = chat(&format!("m{}", caller % 4), "hello", 30, true);
+    // One caller's streams last longer than any announcement.
+    let tokens = if caller == 0 { 800 } else { 30 };
+    let body = chat(&format!("m{}", caller % 4), "hello", tokens, true);
     let answer = gateway
         .post("/v1/chat/completions", &ask, &body)
         .await
