Give up batch work before interactive work when the agent's queue is full

Cause: a full queue refused whoever came next, and the expected wait counted every waiting request of the same urgency, also those that would run later. At 1.5 times capacity batch work filled the queue and tame interactive requests were refused as often as the noisy workspace's. Ruled out: the order of service (tame requests that got in met their target).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -36,7 +36,7 @@
 
 use endpoint::{EndpointClient, OrderResult};
 use outcomes::Outcomes;
-use queue::{Queue, Ticket};
+use queue::{Queue, Refusal, Ticket};
 
 /// The key of the placement leader in the platform's service.
 pub const LEADER_KEY: &str = "leader/placement";
@@ -50,6 +50,9 @@
 /// Time between two attempts to learn the fencing numbers in force.
 const FENCE_RETRY: Duration = Duration::from_millis(500);
 
+/// What a waiting call is told: to run, or that it was given up.
+type Grant = std::result::Result<(), Refusal>;
+
 /// One agent's state. Only its own thread touches it.
 pub(crate) struct Agent {
     settings: AgentSettings,
@@ -57,7 +60,7 @@
     endpoint: EndpointClient,
     metrics: Arc<Metrics>,
     queue: RefCell<Queue>,
-    grants: RefCell<Vec<(Ticket, oneshot::Sender<()>)>>,
+    grants: RefCell<Vec<(Ticket, oneshot::Sender<Grant>)>>,
     ledger: RefCell<Ledger>,
     outcomes: RefCell<Outcomes>,
     draining_since: Cell<Option<Millis>>,
--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -10,9 +10,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::Agent;
 use super::endpoint::CallProblem;
 use super::queue::{Refusal, Ticket, Wish};
+use super::{Agent, Grant};
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
 use crate::settings::EndpointSettings;
@@ -92,9 +92,16 @@
             granted = timeout(due_in.as_duration(), granted) => granted,
             _ = tx.stopped() => return,
         };
-        if granted.is_err() {
-            refuse(&mut tx, &call, Code::TargetMissed, GONE_RETRY_MS).await;
-            return;
+        match granted {
+            Ok(Ok(Ok(()))) => {}
+            Ok(Ok(Err(refusal))) => {
+                refuse(&mut tx, &call, refusal.code, refusal.retry_after.0).await;
+                return;
+            }
+            Ok(Err(_)) | Err(_) => {
+                refuse(&mut tx, &call, Code::TargetMissed, GONE_RETRY_MS).await;
+                return;
+            }
         }
         place.started = Some(self.now());
         self.run_call(&call, &mut tx).await;
@@ -117,8 +124,12 @@
         }
     }
 
-    fn enqueue(&self, wish: Wish) -> Result<(Ticket, oneshot::Receiver<()>), Refusal> {
+    fn enqueue(&self, wish: Wish) -> Result<(Ticket, oneshot::Receiver<Grant>), Refusal> {
         let ticket = self.queue.borrow_mut().push(self.now(), wish)?;
+        let evicted = self.queue.borrow_mut().take_evicted();
+        for (ticket, refusal) in evicted {
+            self.answer_waiting(ticket, Err(refusal));
+        }
         let (grant, granted) = oneshot::channel();
         self.grants.borrow_mut().push((ticket, grant));
         self.start_waiting();
@@ -131,11 +142,15 @@
             let Some(ticket) = self.queue.borrow_mut().start_next() else {
                 return;
             };
-            let mut grants = self.grants.borrow_mut();
-            if let Some(at) = grants.iter().position(|(t, _)| *t == ticket) {
-                let (_, grant) = grants.swap_remove(at);
-                let _ = grant.send(());
-            }
+            self.answer_waiting(ticket, Ok(()));
+        }
+    }
+
+    fn answer_waiting(&self, ticket: Ticket, answer: Grant) {
+        let mut grants = self.grants.borrow_mut();
+        if let Some(at) = grants.iter().position(|(t, _)| *t == ticket) {
+            let (_, grant) = grants.swap_remove(at);
+            let _ = grant.send(answer);
         }
     }
 
--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -58,6 +58,7 @@
     max_waiting: usize,
     running: Vec<Ticket>,
     waiting: Vec<Waiting>,
+    evicted: Vec<(Ticket, Refusal)>,
     services: Vec<Service>,
     next: u64,
     /// A moving average of the time that a request runs, in milliseconds.
@@ -72,6 +73,7 @@
             max_waiting,
             running: Vec::new(),
             waiting: Vec::new(),
+            evicted: Vec::new(),
             services: Vec::new(),
             next: 0,
             run_ms: 0,
@@ -89,37 +91,65 @@
     }
 
     /// Lets a request in, or refuses it at once if it cannot run in time.
+    ///
+    /// A full queue makes room by giving up the request that would run last, if
+    /// that is not the new one; [`Queue::take_evicted`] tells which.
     pub fn push(&mut self, now: Millis, wish: Wish) -> Result<Ticket, Refusal> {
-        let wait = self.expected_wait(wish.urgency);
+        self.welcome(&wish.workspace);
         if self.running.len() >= self.max_running {
-            let code = match () {
-                () if self.waiting.len() >= self.max_waiting => Some(Code::Busy),
-                () if now + wait > wish.due => Some(Code::TargetMissed),
-                () => None,
+            let wait = self.expected_wait(&wish);
+            let refuse = |code| Refusal {
+                code,
+                retry_after: wait.max(Millis(1)),
             };
-            if let Some(code) = code {
-                let retry_after = wait.max(Millis(1));
-                return Err(Refusal { code, retry_after });
+            if now + wait > wish.due {
+                return Err(refuse(Code::TargetMissed));
+            }
+            if self.waiting.len() >= self.max_waiting && !self.make_room(&wish, refuse(Code::Busy))
+            {
+                return Err(refuse(Code::Busy));
             }
         }
         let ticket = Ticket(self.next);
         self.next += 1;
-        self.welcome(&wish.workspace);
         self.waiting.push(Waiting { ticket, wish });
         Ok(ticket)
     }
 
+    /// Requests that were given up to make room, each with its refusal.
+    pub fn take_evicted(&mut self) -> Vec<(Ticket, Refusal)> {
+        std::mem::take(&mut self.evicted)
+    }
+
+    /// Gives up the request that would run last, if that is after `wish`.
+    fn make_room(&mut self, wish: &Wish, refusal: Refusal) -> bool {
+        let last = self.waiting.iter().enumerate();
+        let Some((at, last)) = last.max_by_key(|(_, w)| self.rank(&w.wish)) else {
+            return false;
+        };
+        if self.rank(&last.wish) <= self.rank(wish) {
+            return false;
+        }
+        let evicted = self.waiting.remove(at);
+        self.evicted.push((evicted.ticket, refusal));
+        true
+    }
+
+    /// The order in which requests run: smaller goes first.
+    fn rank(&self, wish: &Wish) -> (Urgency, u64, Millis) {
+        (wish.urgency, self.served(&wish.workspace), wish.due)
+    }
+
     /// Starts the next request, if one waits and may run.
     pub fn start_next(&mut self) -> Option<Ticket> {
         if self.running.len() >= self.max_running {
             return None;
         }
-        let order = |w: &Waiting| (w.wish.urgency, self.served(&w.wish.workspace), w.wish.due);
         let (at, _) = self
             .waiting
             .iter()
             .enumerate()
-            .min_by_key(|(_, w)| order(w))?;
+            .min_by_key(|(_, w)| self.rank(&w.wish))?;
         let next = self.waiting.remove(at);
         if let Ok(at) = self.find(&next.wish.workspace) {
             self.services[at].served += next.wish.cost.max(1);
@@ -140,9 +170,10 @@
         }
     }
 
-    /// How long a new request of this urgency would wait.
-    fn expected_wait(&self, urgency: Urgency) -> Millis {
-        let ahead = self.waiting.iter().filter(|w| w.wish.urgency <= urgency);
+    /// How long a new request would wait behind those that run before it.
+    fn expected_wait(&self, wish: &Wish) -> Millis {
+        let rank = self.rank(wish);
+        let ahead = self.waiting.iter().filter(|w| self.rank(&w.wish) <= rank);
         let ahead = ahead.count() as u64 + 1;
         Millis(self.run_ms * ahead / self.max_running as u64)
     }
--- a/standins/src/bin/rattanstall-experiment/main.rs
+++ b/standins/src/bin/rattanstall-experiment/main.rs
@@ -1,6 +1,7 @@
 //! Compares policies on the same recorded arrivals, in virtual time.
 
 mod limits;
+mod overload;
 mod slopes;
 
 use std::process::ExitCode;
@@ -9,7 +10,7 @@
 
 fn main() -> ExitCode {
     let options = [
-        ("name", "the experiment: limits, slopes"),
+        ("name", "the experiment: limits, overload, slopes"),
         ("seed", "seed of arrivals and failures (default 1)"),
         ("seconds", "virtual time of one run (default 900)"),
     ];
@@ -18,9 +19,10 @@
     let seconds = value(&args, "seconds", 900);
     match value(&args, "name", "limits".to_owned()).as_str() {
         "limits" => limits::run(seed, seconds),
+        "overload" => overload::run(seed, seconds),
         "slopes" => slopes::run(),
         other => {
-            eprintln!("--name: \"{other}\" is unknown; allowed: limits, slopes");
+            eprintln!("--name: \"{other}\" is unknown; allowed: limits, overload, slopes");
             return ExitCode::from(2);
         }
     }
--- /dev/null
+++ b/standins/tests/memory.rs
@@ -0,0 +1,129 @@
+//! Memory is not overcommitted and models come back, on real processes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rattanstall::config::Document;
+use rattanstall_standins::caller::Caller;
+use rattanstall_standins::faults::Faults;
+use rattanstall_standins::fleet::{Fleet, FleetBuilder};
+use rustix::process::Signal;
+use serde_json::Value;
+
+/// An engine holds four models, the fleet has six.
+const MODELS: usize = 6;
+
+fn builder(obeys_fence: bool) -> FleetBuilder {
+    let builder = FleetBuilder::default().engines(3).services(Vec::new());
+    let builder = builder.models(MODELS).model_bytes(100).memory_bytes(450);
+    builder.obeys_fence(obeys_fence)
+}
+
+async fn start(builder: FleetBuilder) -> Fleet {
+    let fleet = builder.start().expect("the fleet starts");
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/nilecrest.toml");
+    fleet
+        .apply(Document::read(&file).expect("a valid file"))
+        .await;
+    fleet
+}
+
+async fn overcommits(fleet: &Fleet) -> u64 {
+    let mut sum = 0;
+    for endpoint in fleet.endpoints.iter().filter(|e| e.pid().is_some()) {
+        let history = Caller::new(endpoint.listen).get("/control/history").await;
+        let history = history.expect("the engine answers");
+        sum += history["overcommits"].as_u64().expect("a number");
+    }
+    sum
+}
+
+/// Models that are ready on some healthy agent, in a gateway's state.
+fn ready_models(state: &Value) -> usize {
+    let agents = state["agents"].as_array().cloned().unwrap_or_default();
+    let healthy = agents.iter().filter(|a| a["healthy"] == true);
+    let models = healthy.flat_map(|a| a["models"].as_array().cloned().unwrap_or_default());
+    let mut ready: Vec<String> = models
+        .filter(|m| m["state"] == "ready")
+        .filter_map(|m| m["model"].as_str().map(str::to_owned))
+        .collect();
+    ready.sort();
+    ready.dedup();
+    ready.len()
+}
+
+/// The index of the gateway that leads placement.
+async fn leader(fleet: &Fleet) -> usize {
+    for _ in 0..600 {
+        for (n, gateway) in fleet.gateways.iter().enumerate() {
+            let state = gateway.state().await.unwrap_or_default();
+            if state["leader_fence"].is_u64() {
+                return n;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("no leader");
+}
+
+#[tokio::test]
+async fn models_of_a_dead_endpoint_come_back_elsewhere() {
+    let mut fleet = start(builder(true)).await;
+    fleet.wait_ready().await;
+    fleet.agents[0].kill();
+    fleet.endpoints[0].kill();
+    fleet
+        .wait_for(|state| {
+            let agents = state["agents"].as_array().map_or(0, Vec::len);
+            agents == 2 && ready_models(state) == MODELS
+        })
+        .await;
+    assert_eq!(overcommits(&fleet).await, 0);
+}
+
+#[tokio::test]
+async fn a_thawed_leader_gives_no_more_orders() {
+    let mut fleet = start(builder(false)).await;
+    let old = leader(&fleet).await;
+    fleet.wait_ready().await;
+    let fence = fleet.gateways[old].state().await.unwrap()["leader_fence"].as_u64();
+    fleet.gateways[old].signal(Signal::STOP);
+    let mut frozen = fleet.gateways.remove(old);
+    let new = leader(&fleet).await;
+    let later = fleet.gateways[new].state().await.unwrap()["leader_fence"].as_u64();
+    assert!(later > fence, "{later:?} {fence:?}");
+    // A loss gives both leaders something to order.
+    fleet.agents[1].kill();
+    fleet.endpoints[1].kill();
+    frozen.signal(Signal::CONT);
+    fleet.wait_for(|state| ready_models(state) == MODELS).await;
+    let moves = frozen.state().await.unwrap()["moves"].as_u64();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let state = frozen.state().await.unwrap();
+    assert!(state["leader_fence"].is_null(), "{state}");
+    assert_eq!(state["moves"].as_u64(), moves);
+    assert_eq!(overcommits(&fleet).await, 0);
+    frozen.kill();
+}
+
+#[tokio::test]
+async fn late_orders_and_restarted_agents_do_not_overcommit() {
+    for obeys_fence in [true, false] {
+        // Orders take effect after the agent has given up on their answers.
+        let mut fleet = start(builder(obeys_fence).last_order_ms(4_000)).await;
+        let late = Faults {
+            late_orders_ms: 3_000,
+            ..Faults::default()
+        };
+        for endpoint in &fleet.endpoints {
+            Caller::new(endpoint.listen).set_faults(&late).await;
+        }
+        for round in 0..2 {
+            tokio::time::sleep(Duration::from_millis(4_500)).await;
+            fleet.agents[round].kill();
+            fleet.restart(|fleet| &mut fleet.agents[round]).unwrap();
+        }
+        fleet.wait_for(|state| ready_models(state) == MODELS).await;
+        assert_eq!(overcommits(&fleet).await, 0, "obeys fences: {obeys_fence}");
+    }
+}
