--- /dev/null
+++ b/src/escrow/holding.rs
@@ -0,0 +1,81 @@
+//! One workspace's share at one gateway.
+
+use compact_str::CompactString;
+
+use super::event::{Limit, ShareEffect};
+use crate::bucket::WHOLE_PPM;
+use crate::clock::Millis;
+use crate::wire::Member;
+
+/// The part of the rate that a holder keeps beyond its own use, in percent of that use.
+const HEADROOM_PERCENT: u64 = 125;
+
+#[derive(Clone, Debug)]
+pub(super) struct Holding {
+    pub(super) limit: Limit,
+    /// The share carried into the term, and once it is active what was added to it.
+    pub(super) base: u64,
+    /// What was received less what was given within the term.
+    pub(super) traded: i64,
+    /// A moving average of use, in tokens a second.
+    pub(super) used_per_s: u64,
+    pub(super) wanted: u64,
+    pub(super) asked_at: Millis,
+}
+
+impl Holding {
+    pub(super) fn new(limit: Limit, base: u64) -> Self {
+        Self {
+            limit,
+            base,
+            traded: 0,
+            used_per_s: 0,
+            wanted: 0,
+            asked_at: Millis::ZERO,
+        }
+    }
+
+    pub(super) fn share(&self) -> u64 {
+        (self.base as i64 + self.traded).max(0) as u64
+    }
+
+    /// The share that is not needed here, in parts per million.
+    pub(super) fn spare(&self) -> u64 {
+        if self.wanted > 0 {
+            return 0;
+        }
+        let kept = self.used_per_s * HEADROOM_PERCENT / 100;
+        let kept_ppm = kept * WHOLE_PPM / self.limit.rate.max(1);
+        self.share().saturating_sub(kept_ppm)
+    }
+
+    /// The share to hand to a holder that is short of `tokens`.
+    pub(super) fn grant_for(&self, tokens: u64) -> u64 {
+        let spare = self.spare();
+        let needed = tokens.saturating_mul(WHOLE_PPM) / self.limit.burst.max(1);
+        (spare / 2).max(needed.min(spare))
+    }
+}
+
+/// The shares with which a member entered a term.
+#[derive(Clone, Debug)]
+pub(super) struct Carried {
+    pub(super) member: Member,
+    pub(super) term: u64,
+    pub(super) shares: Vec<(CompactString, u64)>,
+}
+
+impl Carried {
+    pub(super) fn share(&self, workspace: &str) -> u64 {
+        let shares = &self.shares;
+        let at = shares.binary_search_by(|(name, _)| name.as_str().cmp(workspace));
+        at.map_or(0, |at| shares[at].1)
+    }
+}
+
+pub(super) fn set_share(holding: &Holding) -> ShareEffect {
+    ShareEffect::SetShare {
+        workspace: holding.limit.workspace.clone(),
+        ppm: holding.share(),
+    }
+}
--- /dev/null
+++ b/src/escrow/trade.rs
@@ -0,0 +1,140 @@
+//! Trade of shares between gateways within a term.
+
+use compact_str::CompactString;
+
+use super::event::{ShareEffect, ShareMessage};
+use super::{Escrow, Peer, PendingGrant};
+use crate::bucket::WHOLE_PPM;
+use crate::clock::Millis;
+use crate::wire::Member;
+
+/// How recently a gateway must have answered to be given share.
+const PARTNER_FRESH: Millis = Millis(800);
+/// The least time between two requests for the same workspace.
+const ASK_INTERVAL: Millis = Millis(50);
+/// The share above the equal one that is not worth moving, in parts per million.
+const LEVEL_SLACK_PPM: u64 = 20_000;
+
+impl Escrow {
+    /// Returns share above the equal one that is not needed here, so that the
+    /// loss of one gateway takes little with it.
+    pub(super) fn level(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
+        let others = self.live_others(now);
+        if others.is_empty() || !self.active {
+            return;
+        }
+        let equal = WHOLE_PPM / self.term.members.len() as u64;
+        self.next_peer = (self.next_peer + 1) % others.len();
+        for holding in &self.holdings {
+            let surplus = holding.share().saturating_sub(equal).min(holding.spare());
+            if surplus > LEVEL_SLACK_PPM {
+                out.push(ShareEffect::Split {
+                    to: others[self.next_peer].clone(),
+                    workspace: holding.limit.workspace.clone(),
+                    ppm: surplus / 2,
+                });
+            }
+        }
+    }
+
+    /// Asks one peer at a time for what is short.
+    pub(super) fn ask(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
+        let others: Vec<Member> = self.live_others(now);
+        if others.is_empty() || self.draining {
+            return;
+        }
+        let term = self.term.number;
+        for holding in &mut self.holdings {
+            if holding.wanted == 0 || now.since(holding.asked_at) < ASK_INTERVAL {
+                continue;
+            }
+            holding.asked_at = now;
+            for to in &others {
+                out.push(ShareEffect::Send {
+                    to: to.clone(),
+                    message: ShareMessage::Ask {
+                        term,
+                        workspace: holding.limit.workspace.clone(),
+                        tokens: holding.wanted,
+                    },
+                });
+            }
+        }
+    }
+
+    pub(super) fn asked(
+        &mut self,
+        from: Member,
+        term: u64,
+        workspace: CompactString,
+        tokens: u64,
+        out: &mut Vec<ShareEffect>,
+    ) {
+        if term != self.term.number {
+            return;
+        }
+        let Ok(at) = self.find(&workspace) else {
+            return;
+        };
+        let ppm = self.holdings[at].grant_for(tokens);
+        if ppm > 0 {
+            out.push(ShareEffect::Split {
+                to: from,
+                workspace,
+                ppm,
+            });
+        }
+    }
+
+    /// Books a share that a bucket has given up, and sends it.
+    pub(super) fn grant(
+        &mut self,
+        now: Millis,
+        to: Member,
+        workspace: CompactString,
+        ppm: u64,
+        tokens: u64,
+        out: &mut Vec<ShareEffect>,
+    ) {
+        let Ok(at) = self.find(&workspace) else {
+            return;
+        };
+        self.holdings[at].traded -= ppm as i64;
+        let id = self.next_grant;
+        self.next_grant += 1;
+        self.grants.push(PendingGrant { id, sent_at: now });
+        let message = ShareMessage::Grant {
+            term: self.term.number,
+            id,
+            workspace,
+            ppm,
+            tokens,
+        };
+        out.push(ShareEffect::Send { to, message });
+    }
+
+    pub(super) fn hand_over_all(&mut self, out: &mut Vec<ShareEffect>) {
+        let others = self.live_others(self.last_tick);
+        let Some(to) = others.get(self.next_peer % others.len().max(1)) else {
+            return;
+        };
+        self.next_peer += 1;
+        for holding in self.holdings.iter().filter(|h| h.share() > 0) {
+            out.push(ShareEffect::Split {
+                to: to.clone(),
+                workspace: holding.limit.workspace.clone(),
+                ppm: holding.share(),
+            });
+        }
+    }
+
+    pub(super) fn live_others(&self, now: Millis) -> Vec<Member> {
+        let fresh = |peer: &&Peer| {
+            peer.term == self.term.number
+                && self.term.members.contains(&peer.member)
+                && now.since(peer.echo) <= PARTNER_FRESH
+        };
+        let live = self.peers.iter().filter(fresh);
+        live.map(|peer| peer.member.clone()).collect()
+    }
+}
--- a/standins/src/bin/rattanstall-experiment/main.rs
+++ b/standins/src/bin/rattanstall-experiment/main.rs
@@ -3,6 +3,7 @@
 mod limits;
 mod overload;
 mod slopes;
+mod soak;
 
 use std::process::ExitCode;
 
@@ -10,19 +11,28 @@
 
 fn main() -> ExitCode {
     let options = [
-        ("name", "the experiment: limits, overload, slopes"),
+        ("name", "the experiment: limits, overload, slopes, soak"),
         ("seed", "seed of arrivals and failures (default 1)"),
+        ("minutes", "real time of a soak (default 1)"),
         ("seconds", "virtual time of one run (default 900)"),
     ];
     let args = parse("Compares policies in virtual time.", &options);
+    let fresh = rand::random::<u32>().into();
     let seed = value(&args, "seed", 1);
     let seconds = value(&args, "seconds", 900);
     match value(&args, "name", "limits".to_owned()).as_str() {
         "limits" => limits::run(seed, seconds),
         "overload" => overload::run(seed, seconds),
+        "soak" => {
+            let minutes = value(&args, "minutes", 1.0);
+            if let Err(violation) = soak::run(value(&args, "seed", fresh), minutes) {
+                eprintln!("over-issue: {violation}");
+                return ExitCode::FAILURE;
+            }
+        }
         "slopes" => slopes::run(),
         other => {
-            eprintln!("--name: \"{other}\" is unknown; allowed: limits, overload, slopes");
+            eprintln!("--name: \"{other}\" is unknown; allowed: limits, overload, slopes, soak");
             return ExitCode::from(2);
         }
     }
