--- a/standins/src/bin/rattanstall-load/main.rs
+++ b/standins/src/bin/rattanstall-load/main.rs
@@ -1,5 +1,6 @@
 //! Load on a running system, and the latency that the system adds.
 
+mod claims;
 mod idle;
 mod tokens;
 
@@ -19,7 +20,7 @@
     let options = [
         (
             "mode",
-            "overhead: direct against through the system; idle: what control costs; tokens: what a streamed token costs; target: a running gateway",
+            "overhead: direct against through the system; idle: what control costs; tokens: what a streamed token costs; claims: writes for calls that may not be repeated; target: a running gateway",
         ),
         ("rate", "requests a second (default 200)"),
         ("seconds", "time of each run (default 5)"),
@@ -54,9 +55,10 @@
             Ok(())
         }
         "idle" => runtime.block_on(idle::measure(seconds)),
+        "claims" => runtime.block_on(claims::measure()),
         "tokens" => runtime.block_on(tokens::measure()),
         other => Err(format!(
-            "--mode: \"{other}\" is unknown; allowed: overhead, idle, tokens, target"
+            "--mode: \"{other}\" is unknown; allowed: overhead, idle, tokens, claims, target"
         )
         .into()),
     }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -1,32 +1,34 @@
 //! A small fleet of real processes on loopback, for tests and the quick start.
 
+mod process;
+mod settings;
+
 use std::collections::HashSet;
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rattanstall::config::Document;
 use rattanstall::instances::{Instance, Role};
 use rattanstall::operator::{CreatedKey, Operator};
-use rattanstall::weights::Model;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 
 use crate::caller::Caller;
 use crate::platform::PlatformSetup;
 
+pub use process::{Process, program_dir};
+use settings::{
+    Ports, agent_settings, endpoint, gateway_settings, instance, models, settings_args,
+};
+
 /// How long the fleet may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
-/// How long a process may take to end by itself.
-const STOP_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(50);
 
 static FLEETS: AtomicU32 = AtomicU32::new(0);
-static PORTS: AtomicU32 = AtomicU32::new(0);
 
 /// What a fleet consists of.
 #[derive(Clone, Debug)]
@@ -106,19 +108,6 @@
     }
 }
 
-/// A running process of the fleet.
-pub struct Process {
-    /// The instance's name.
-    pub name: String,
-    /// Where callers or agents connect.
-    pub listen: SocketAddr,
-    /// The operators' port, for gateways and agents.
-    pub admin: Option<SocketAddr>,
-    program: String,
-    args: Vec<String>,
-    child: Option<Child>,
-}
-
 /// The processes, which end with this value.
 pub struct Fleet {
     dir: PathBuf,
@@ -337,234 +326,3 @@
         }
     }
 }
-
-impl Process {
-    fn new(
-        name: &str,
-        listen: SocketAddr,
-        admin: Option<SocketAddr>,
-        program: &str,
-        args: Vec<String>,
-    ) -> Self {
-        Self {
-            name: name.to_owned(),
-            listen,
-            admin,
-            program: program.to_owned(),
-            args,
-            child: None,
-        }
-    }
-
-    /// The process's state dump, if it answers.
-    pub async fn state(&self) -> Option<Value> {
-        Caller::new(self.admin?).get("/state").await
-    }
-
-    /// The process's identifier while it runs.
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
-    /// Sends a signal.
-    pub fn signal(&self, signal: Signal) {
-        let pid = self.pid().and_then(|pid| Pid::from_raw(pid as i32));
-        if let Some(pid) = pid {
-            let _ = kill_process(pid, signal);
-        }
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Waits for the process to end by itself.
-    pub fn wait(&mut self) -> io::Result<ExitStatus> {
-        let deadline = Instant::now() + STOP_TIMEOUT;
-        let Some(child) = &mut self.child else {
-            return Err(io::Error::other(format!("{} does not run", self.name)));
-        };
-        loop {
-            if let Some(status) = child.try_wait()? {
-                self.child = None;
-                return Ok(status);
-            }
-            if Instant::now() >= deadline {
-                return Err(io::Error::other(format!("{} does not end", self.name)));
-            }
-            std::thread::sleep(POLL);
-        }
-    }
-
-    fn wait_for_success(&mut self) -> io::Result<()> {
-        if self.child.is_none() {
-            return Ok(());
-        }
-        let status = self.wait()?;
-        match status.success() {
-            true => Ok(()),
-            false => Err(io::Error::other(format!("{}: {status}", self.name))),
-        }
-    }
-
-    fn is_started(&self) -> bool {
-        self.child.is_some()
-    }
-
-    fn spawn(&mut self, dir: &Path) -> io::Result<()> {
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(dir.join(format!("{}.log", self.name)))?;
-        let child = Command::new(program_dir()?.join(&self.program))
-            .args(&self.args)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
-        Ok(())
-    }
-}
-
-/// Ports for TCP and UDP that nothing listens on. They lie below the range from
-/// which the system takes the ports of outgoing connections, so that none of
-/// those can take one before its process is up.
-struct Ports;
-
-impl Ports {
-    const FIRST: u32 = 10_000;
-    const COUNT: u32 = 20_000;
-
-    fn next(&mut self) -> io::Result<SocketAddr> {
-        // Runs side by side begin at different places.
-        let start = std::process::id().wrapping_mul(7_919);
-        for _ in 0..Self::COUNT {
-            let number = start.wrapping_add(PORTS.fetch_add(1, Ordering::Relaxed));
-            let port = (Self::FIRST + number % Self::COUNT) as u16;
-            let addr = SocketAddr::from(([127, 0, 0, 1], port));
-            if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
-                return Ok(addr);
-            }
-        }
-        Err(io::Error::other("no free port"))
-    }
-}
-
-/// Where the programs are: beside this one, or above a test's directory.
-pub fn program_dir() -> io::Result<PathBuf> {
-    let mut dir = std::env::current_exe()?;
-    dir.pop();
-    if dir.ends_with("deps") || dir.ends_with("examples") {
-        dir.pop();
-    }
-    Ok(dir)
-}
-
-fn models(plan: &FleetBuilder) -> Vec<Model> {
-    let model = |n| Model {
-        name: format!("m{n}").into(),
-        bytes: plan.model_bytes,
-    };
-    (0..plan.models).map(model).collect()
-}
-
-fn zone(n: usize) -> String {
-    format!("zone-{}", n % 3)
-}
-
-fn instance(name: &str, role: Role, n: usize, peer: SocketAddr, admin: SocketAddr) -> Instance {
-    Instance {
-        name: name.into(),
-        role,
-        zone: zone(n).into(),
-        ip: peer.ip(),
-        peer_port: peer.port(),
-        admin_port: admin.port(),
-        leaving: false,
-    }
-}
-
-fn settings_args(dir: &Path, name: &str, text: &str) -> io::Result<Vec<String>> {
-    let file = dir.join(format!("{name}.toml"));
-    fs::write(&file, text)?;
-    Ok(vec!["--settings".to_owned(), file.display().to_string()])
-}
-
-fn tls_section(dir: &Path) -> String {
-    let dir = dir.display();
-    format!("[tls]\nca = \"{dir}/ca.pem\"\ncert = \"{dir}/cert.pem\"\nkey = \"{dir}/cert.key\"\n")
-}
-
-fn gateway_settings(plan: &FleetBuilder, dir: &Path, n: usize, addrs: [SocketAddr; 4]) -> String {
-    let [listen, peer, admin, platform] = addrs;
-    format!(
-        "name = \"gw-{n}\"\nzone = \"{}\"\nlisten = \"{listen}\"\npeer = \"{peer}\"\n\
-         admin = \"{admin}\"\nplatform = \"{platform}\"\ninstances = \"{platform}\"\n\
-         weights = \"{platform}\"\n\n[log]\nlevel = \"{}\"\n\n{}",
-        zone(n),
-        plan.log_level,
-        tls_section(dir)
-    )
-}
-
-fn agent_settings(
-    plan: &FleetBuilder,
-    dir: &Path,
-    n: usize,
-    addrs: [SocketAddr; 4],
-    service: Option<&str>,
-) -> String {
-    let [peer, admin, platform, endpoint] = addrs;
-    let kind = match service {
-        Some(name) => format!("kind = \"service\"\nservice = \"{name}\""),
-        None => "kind = \"engine\"".to_owned(),
-    };
-    format!(
-        "name = \"agent-{n}\"\nzone = \"{}\"\npeer = \"{peer}\"\nadmin = \"{admin}\"\n\
-         platform = \"{platform}\"\nmax_running = {}\nlast_order_ms = {}\n\n[endpoint]\n{kind}\n\
-         address = \"{endpoint}\"\n\n[log]\nlevel = \"{}\"\n\n{}",
-        zone(n),
-        plan.max_running,
-        plan.last_order_ms,
-        plan.log_level,
-        tls_section(dir)
-    )
-}
-
-fn endpoint(
-    plan: &FleetBuilder,
-    n: usize,
-    listen: SocketAddr,
-    platform: SocketAddr,
-    service: Option<&(String, u64)>,
-) -> Process {
-    let (program, options) = match service {
-        Some((_, work_ms)) => (
-            "standin-service",
-            vec![
-                ("listen", listen.to_string()),
-                ("work-ms", work_ms.to_string()),
-            ],
-        ),
-        None => (
-            "standin-engine",
-            vec![
-                ("listen", listen.to_string()),
-                ("weights", platform.to_string()),
-                ("memory-bytes", plan.memory_bytes.to_string()),
-                ("step-us", plan.step_us.to_string()),
-                ("obeys-fence", plan.obeys_fence.to_string()),
-            ],
-        ),
-    };
-    let args = options
-        .into_iter()
-        .flat_map(|(name, value)| [format!("--{name}"), value])
-        .collect();
-    Process::new(&format!("endpoint-{n}"), listen, None, program, args)
-}
--- /dev/null
+++ b/standins/src/fleet/process.rs
@@ -0,0 +1,133 @@
+//! One process of the fleet.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use crate::caller::Caller;
+
+/// How long a process may take to end by itself.
+const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+
+/// A running process of the fleet.
+pub struct Process {
+    /// The instance's name.
+    pub name: String,
+    /// Where callers or agents connect.
+    pub listen: SocketAddr,
+    /// The operators' port, for gateways and agents.
+    pub admin: Option<SocketAddr>,
+    program: String,
+    args: Vec<String>,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub(super) fn new(
+        name: &str,
+        listen: SocketAddr,
+        admin: Option<SocketAddr>,
+        program: &str,
+        args: Vec<String>,
+    ) -> Self {
+        Self {
+            name: name.to_owned(),
+            listen,
+            admin,
+            program: program.to_owned(),
+            args,
+            child: None,
+        }
+    }
+
+    /// The process's state dump, if it answers.
+    pub async fn state(&self) -> Option<Value> {
+        Caller::new(self.admin?).get("/state").await
+    }
+
+    /// The process's identifier while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.pid().and_then(|pid| Pid::from_raw(pid as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self) -> io::Result<ExitStatus> {
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        let Some(child) = &mut self.child else {
+            return Err(io::Error::other(format!("{} does not run", self.name)));
+        };
+        loop {
+            if let Some(status) = child.try_wait()? {
+                self.child = None;
+                return Ok(status);
+            }
+            if Instant::now() >= deadline {
+                return Err(io::Error::other(format!("{} does not end", self.name)));
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    pub(super) fn wait_for_success(&mut self) -> io::Result<()> {
+        if self.child.is_none() {
+            return Ok(());
+        }
+        let status = self.wait()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(io::Error::other(format!("{}: {status}", self.name))),
+        }
+    }
+
+    pub(super) fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub(super) fn spawn(&mut self, dir: &Path) -> io::Result<()> {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(dir.join(format!("{}.log", self.name)))?;
+        let child = Command::new(program_dir()?.join(&self.program))
+            .args(&self.args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+}
+
+/// Where the programs are: beside this one, or above a test's directory.
+pub fn program_dir() -> io::Result<PathBuf> {
+    let mut dir = std::env::current_exe()?;
+    dir.pop();
+    if dir.ends_with("deps") || dir.ends_with("examples") {
+        dir.pop();
+    }
+    Ok(dir)
+}
--- /dev/null
+++ b/standins/src/fleet/settings.rs
@@ -0,0 +1,154 @@
+//! Ports and settings files of the fleet's processes.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use rattanstall::instances::{Instance, Role};
+use rattanstall::weights::Model;
+
+use super::FleetBuilder;
+use super::process::Process;
+
+static PORTS: AtomicU32 = AtomicU32::new(0);
+
+/// Ports for TCP and UDP that nothing listens on. They lie below the range from
+/// which the system takes the ports of outgoing connections, so that none of
+/// those can take one before its process is up.
+pub(super) struct Ports;
+
+impl Ports {
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+
+    pub(super) fn next(&mut self) -> io::Result<SocketAddr> {
+        // Runs side by side begin at different places.
+        let start = std::process::id().wrapping_mul(7_919);
+        for _ in 0..Self::COUNT {
+            let number = start.wrapping_add(PORTS.fetch_add(1, Ordering::Relaxed));
+            let port = (Self::FIRST + number % Self::COUNT) as u16;
+            let addr = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+                return Ok(addr);
+            }
+        }
+        Err(io::Error::other("no free port"))
+    }
+}
+
+pub(super) fn models(plan: &FleetBuilder) -> Vec<Model> {
+    let model = |n| Model {
+        name: format!("m{n}").into(),
+        bytes: plan.model_bytes,
+    };
+    (0..plan.models).map(model).collect()
+}
+
+pub(super) fn zone(n: usize) -> String {
+    format!("zone-{}", n % 3)
+}
+
+pub(super) fn instance(
+    name: &str,
+    role: Role,
+    n: usize,
+    peer: SocketAddr,
+    admin: SocketAddr,
+) -> Instance {
+    Instance {
+        name: name.into(),
+        role,
+        zone: zone(n).into(),
+        ip: peer.ip(),
+        peer_port: peer.port(),
+        admin_port: admin.port(),
+        leaving: false,
+    }
+}
+
+pub(super) fn settings_args(dir: &Path, name: &str, text: &str) -> io::Result<Vec<String>> {
+    let file = dir.join(format!("{name}.toml"));
+    fs::write(&file, text)?;
+    Ok(vec!["--settings".to_owned(), file.display().to_string()])
+}
+
+pub(super) fn tls_section(dir: &Path) -> String {
+    let dir = dir.display();
+    format!("[tls]\nca = \"{dir}/ca.pem\"\ncert = \"{dir}/cert.pem\"\nkey = \"{dir}/cert.key\"\n")
+}
+
+pub(super) fn gateway_settings(
+    plan: &FleetBuilder,
+    dir: &Path,
+    n: usize,
+    addrs: [SocketAddr; 4],
+) -> String {
+    let [listen, peer, admin, platform] = addrs;
+    format!(
+        "name = \"gw-{n}\"\nzone = \"{}\"\nlisten = \"{listen}\"\npeer = \"{peer}\"\n\
+         admin = \"{admin}\"\nplatform = \"{platform}\"\ninstances = \"{platform}\"\n\
+         weights = \"{platform}\"\n\n[log]\nlevel = \"{}\"\n\n{}",
+        zone(n),
+        plan.log_level,
+        tls_section(dir)
+    )
+}
+
+pub(super) fn agent_settings(
+    plan: &FleetBuilder,
+    dir: &Path,
+    n: usize,
+    addrs: [SocketAddr; 4],
+    service: Option<&str>,
+) -> String {
+    let [peer, admin, platform, endpoint] = addrs;
+    let kind = match service {
+        Some(name) => format!("kind = \"service\"\nservice = \"{name}\""),
+        None => "kind = \"engine\"".to_owned(),
+    };
+    format!(
+        "name = \"agent-{n}\"\nzone = \"{}\"\npeer = \"{peer}\"\nadmin = \"{admin}\"\n\
+         platform = \"{platform}\"\nmax_running = {}\nlast_order_ms = {}\n\n[endpoint]\n{kind}\n\
+         address = \"{endpoint}\"\n\n[log]\nlevel = \"{}\"\n\n{}",
+        zone(n),
+        plan.max_running,
+        plan.last_order_ms,
+        plan.log_level,
+        tls_section(dir)
+    )
+}
+
+pub(super) fn endpoint(
+    plan: &FleetBuilder,
+    n: usize,
+    listen: SocketAddr,
+    platform: SocketAddr,
+    service: Option<&(String, u64)>,
+) -> Process {
+    let (program, options) = match service {
+        Some((_, work_ms)) => (
+            "standin-service",
+            vec![
+                ("listen", listen.to_string()),
+                ("work-ms", work_ms.to_string()),
+            ],
+        ),
+        None => (
+            "standin-engine",
+            vec![
+                ("listen", listen.to_string()),
+                ("weights", platform.to_string()),
+                ("memory-bytes", plan.memory_bytes.to_string()),
+                ("step-us", plan.step_us.to_string()),
+                ("obeys-fence", plan.obeys_fence.to_string()),
+            ],
+        ),
+    };
+    let args = options
+        .into_iter()
+        .flat_map(|(name, value)| [format!("--{name}"), value])
+        .collect();
+    Process::new(&format!("endpoint-{n}"), listen, None, program, args)
+}
--- a/standins/src/limits.rs
+++ b/standins/src/limits.rs
@@ -6,8 +6,12 @@
 //! does not fit into it is an over-issue, and a refusal that would have fitted
 //! is a refusal within the rate.
 
+mod account;
+mod owner;
+mod soak;
+
 use compact_str::{CompactString, format_compact};
-use rand::{Rng, RngExt as _, SeedableRng as _};
+use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rattanstall::bucket::{Bucket, Usage, WHOLE_PPM};
 use rattanstall::clock::Millis;
@@ -16,14 +20,14 @@
 };
 use rattanstall::wire::Member;
 
+pub use soak::{random_failure, soak_run};
+
 /// One step of virtual time.
 pub const STEP: Millis = Millis(10);
 const TICK: Millis = Millis(50);
 const HEARTBEAT: Millis = Millis(250);
 const READ: Millis = Millis(1_000);
 const RENEW: Millis = Millis(1_500);
-/// Steps of one run of the soak.
-const SOAK_STEPS: u64 = 6_000;
 /// How long a request waits for share before it is refused.
 const SHARE_WAIT: Millis = Millis(200);
 const LEASE: Millis = Millis(LEASE_TTL_S * 1_000);
@@ -523,96 +527,6 @@
         }
     }
 
-    fn serve(&mut self, at: usize) {
-        let waiting = std::mem::take(&mut self.gateways[at].waiting);
-        for request in waiting {
-            if self.charge(at, &request) {
-                self.note_admitted(&request);
-            } else if self.now.since(request.arrived) >= SHARE_WAIT {
-                self.note_refused(&request);
-            } else {
-                self.gateways[at].waiting.push(request);
-            }
-        }
-    }
-
-    fn charge(&mut self, at: usize, request: &Request) -> bool {
-        if self.policy == Policy::SingleOwner {
-            return self.charge_owner(at, request);
-        }
-        let now = self.now;
-        let gateway = &mut self.gateways[at];
-        let bucket = &mut gateway.buckets[request.workspace];
-        now <= gateway.right_until && bucket.charge(now, request.cost).is_ok()
-    }
-
-    fn charge_owner(&mut self, at: usize, request: &Request) -> bool {
-        let now = self.now;
-        self.elect_owner();
-        let Some((owner, _)) = self.owner.clone() else {
-            return false;
-        };
-        let Some(owner_at) = self.position(&owner) else {
-            return false;
-        };
-        let is_apart = self.gateways[owner_at].alone_until > now
-            || self.gateways[at].alone_until > now
-            || self.gateways[owner_at].frozen_until > now;
-        if owner_at != at && is_apart {
-            return false;
-        }
-        self.cost.messages += 2 * u64::from(owner_at != at);
-        self.owned[request.workspace]
-            .charge(now, request.cost)
-            .is_ok()
-    }
-
-    /// The owner renews while it can; another one follows when the lease has lapsed.
-    fn elect_owner(&mut self) {
-        let now = self.now;
-        if let Some((owner, until)) = self.owner.clone() {
-            let renews = self.position(&owner).is_some_and(|at| {
-                self.gateways[at].frozen_until <= now && self.reaches_service(at)
-            });
-            if renews && until > now {
-                self.owner = Some((owner, now + LEASE));
-            } else if until <= now {
-                self.owner = None;
-            }
-        }
-        if self.owner.is_none()
-            && let Some(at) = (0..self.gateways.len()).find(|at| self.reaches_service(*at))
-        {
-            self.owner = Some((self.gateways[at].member.clone(), now + LEASE));
-            let empty = |limit: &Limit| {
-                let mut bucket = Bucket::new(now, limit.rate, limit.burst);
-                bucket.set_share(now, WHOLE_PPM);
-                bucket
-            };
-            self.owned = self.limits.iter().map(empty).collect();
-        }
-    }
-
-    fn note_admitted(&mut self, request: &Request) {
-        let tally = &mut self.tallies[request.workspace];
-        tally.admitted += 1;
-        tally.tokens += request.cost;
-        let shadow = &mut self.shadows[request.workspace];
-        if shadow.charge(self.now, request.cost).is_err() {
-            tally.over_issued += 1;
-        }
-    }
-
-    fn note_refused(&mut self, request: &Request) {
-        let tally = &mut self.tallies[request.workspace];
-        tally.refused += 1;
-        let shadow = &mut self.shadows[request.workspace];
-        if shadow.charge(self.now, request.cost).is_ok() {
-            shadow.refund(self.now, request.cost);
-            tally.refused_within_rate += 1;
-        }
-    }
-
     fn position(&self, member: &Member) -> Option<usize> {
         self.gateways.iter().position(|g| g.member == *member)
     }
@@ -622,59 +536,3 @@
         found.unwrap_or_default()
     }
 }
-
-/// One random failure, with the spans that matter: below and above every lease.
-pub fn random_failure(fleet: &mut Fleet, rng: &mut impl Rng) {
-    if fleet.is_empty() {
-        fleet.add_gateway("gw-new".into());
-        return;
-    }
-    let at = rng.random_range(0..fleet.len());
-    let span = Millis([300, 2_500, 8_000, 40_000][rng.random_range(0..4)]);
-    match rng.random_range(0..7) {
-        0 => {
-            let name = fleet.kill(at);
-            fleet.add_gateway(name);
-        }
-        1 => drop(fleet.kill(at)),
-        2 => fleet.freeze(at, span),
-        3 => fleet.cut_platform(at, span),
-        4 => fleet.cut_peers(at, span),
-        5 => fleet.take_service_down(span),
-        _ => {
-            let name = format_compact!("gw-{}", rng.random_range(0..1_000_000));
-            fleet.add_gateway(name);
-        }
-    }
-}
-
-/// One run of the soak: a minute of virtual time, sending more than the rate.
-pub fn soak_run(seed: u64) -> Fleet {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let world = World {
-        gateways: rng.random_range(1..8),
-        delay_ms: rng.random_range(0..400),
-        loss_permille: [0, 10, 200][rng.random_range(0..3)],
-    };
-    // From rare failures, which let terms settle, to several at once.
-    let failure_every = [40, 150, 600, 1_500][rng.random_range(0..4)];
-    let limit = Limit {
-        workspace: "a".into(),
-        rate: 1_000,
-        burst: 5_000,
-    };
-    let mut fleet = Fleet::new(world, Policy::Escrow, vec![limit], seed);
-    for _ in 0..SOAK_STEPS {
-        if rng.random_range(0..failure_every) == 0 {
-            random_failure(&mut fleet, &mut rng);
-        }
-        for _ in 0..rng.random_range(0..4) {
-            if !fleet.is_empty() {
-                let at = rng.random_range(0..fleet.len()) * rng.random_range(0..2);
-                fleet.arrive(at, 0, rng.random_range(1..300));
-            }
-        }
-        fleet.step();
-    }
-    fleet
-}
