--- /dev/null
+++ b/examples/fencing.rs
@@ -0,0 +1,35 @@
+//! A ledger that refuses orders of a leader that has been replaced.
+//!
+//! Run with `cargo run --example fencing`.
+
+use rattanstall::clock::Millis;
+use rattanstall::ledger::{EndpointReport, Ledger};
+use rattanstall::wire::{Action, Fence, Order};
+
+fn main() {
+    let last_moment = Millis(1_000);
+    let mut ledger = Ledger::new(Millis::ZERO, last_moment);
+    let ticket = ledger.report_ticket(last_moment);
+    let report = EndpointReport {
+        memory_bytes: 100,
+        ..EndpointReport::default()
+    };
+    ledger.report(last_moment, ticket, &report);
+
+    let load = |model: &str, fence, bytes| Order {
+        fence: Fence(fence),
+        action: Action::Load,
+        model: model.into(),
+        bytes,
+    };
+    let orders = [
+        ("leader 7 loads a", load("a", 7, 60)),
+        ("leader 9 loads b", load("b", 9, 30)),
+        ("leader 7, paused meanwhile, loads c", load("c", 7, 5)),
+        ("leader 9 loads d, too large", load("d", 9, 30)),
+    ];
+    for (what, order) in orders {
+        println!("{what}: {:?}", ledger.order(last_moment, &order));
+    }
+    println!("held or reserved: {} of 100 bytes", ledger.used_bytes());
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -17,7 +17,6 @@
 
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 use serde_json::{Value, json};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -30,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Txn};
 use crate::settings::{AgentSettings, EndpointSettings};
+use crate::signals::wait_for_stop;
 use crate::tls::Identity;
 use crate::transport::{bind, read_frame, write_frame};
 use crate::wire::{Action, AgentStatus, EndpointKind, Fence, Hello, Order, OrderReply};
@@ -360,15 +360,6 @@
 
 /// Turns SIGTERM and SIGINT into a graceful shutdown.
 pub(crate) async fn forward_signals(tx: mpsc::UnboundedSender<AdminCall>) {
-    let (Ok(mut term), Ok(mut int)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+    wait_for_stop().await;
     let _ = tx.send(AdminCall::Drain);
 }
--- a/src/instances.rs
+++ b/src/instances.rs
@@ -7,13 +7,12 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use http::Method;
 use serde::{Deserialize, Serialize};
 
-use crate::error::{Error, Result};
-use crate::http::{HttpClient, client, fetch};
+use crate::error::Result;
+use crate::http::{HttpClient, client, exchange};
 
 /// The path of the list.
 pub const LIST_PATH: &str = "/apis/discovery.k8s.io/v1/endpointslices";
@@ -147,16 +146,9 @@
 
     /// Reads all instances, sorted by name.
     pub async fn read(&self) -> Result<Vec<Instance>> {
-        let body = fetch(
-            &self.client,
-            Method::GET,
-            &self.uri,
-            Bytes::new(),
-            CALL_TIMEOUT,
-        )
-        .await?;
-        let list: EndpointSliceList =
-            serde_json::from_slice(&body).map_err(|e| Error::Platform(e.to_string()))?;
+        let no_body = None::<&()>;
+        let read = exchange(&self.client, Method::GET, &self.uri, no_body, CALL_TIMEOUT);
+        let list: EndpointSliceList = read.await?;
         Ok(list.into_instances())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod platform;
 pub mod route;
 pub mod settings;
+pub mod signals;
 pub mod tls;
 pub mod transport;
 pub mod weights;
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -3,13 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use http::Method;
 use serde::{Deserialize, Serialize};
 
-use crate::error::{Error, Result};
-use crate::http::{HttpClient, client, fetch};
+use crate::error::Result;
+use crate::http::{HttpClient, client, exchange};
 
 /// The path of the catalogue.
 pub const CATALOGUE_PATH: &str = "/catalogue";
@@ -60,16 +59,9 @@
 
     /// Reads the catalogue.
     pub async fn read(&self) -> Result<Catalogue> {
-        let body = fetch(
-            &self.client,
-            Method::GET,
-            &self.uri,
-            Bytes::new(),
-            CALL_TIMEOUT,
-        )
-        .await?;
-        let mut catalogue: Catalogue =
-            serde_json::from_slice(&body).map_err(|e| Error::Http(e.to_string()))?;
+        let no_body = None::<&()>;
+        let read = exchange(&self.client, Method::GET, &self.uri, no_body, CALL_TIMEOUT);
+        let mut catalogue: Catalogue = read.await?;
         catalogue.models.sort_by(|a, b| a.name.cmp(&b.name));
         Ok(catalogue)
     }
--- a/standins/src/bin/rattanstall-load/claims.rs
+++ b/standins/src/bin/rattanstall-load/claims.rs
@@ -1,10 +1,8 @@
 //! Calls to the platform's service for calls that may not be repeated.
 
 use std::error::Error;
-use std::path::Path;
 use std::time::{Duration, Instant};
 
-use rattanstall::config::Document;
 use rattanstall_standins::caller::{Ask, Caller};
 use rattanstall_standins::fleet::{Fleet, FleetBuilder};
 use serde_json::{Value, json};
@@ -18,15 +16,7 @@
 pub async fn measure() -> Result<(), Box<dyn Error>> {
     let services = vec![("orders".to_owned(), 5)];
     let builder = FleetBuilder::default().gateways(1).engines(0).models(0);
-    let fleet = builder.services(services).max_running(512).start()?;
-    let mut document = Document::read(Path::new(super::CONFIGURATION))?;
-    for workspace in &mut document.workspaces {
-        (workspace.rate_tokens_per_s, workspace.burst_tokens) = (1_000_000, 1_000_000);
-    }
-    fleet.apply(document).await;
-    let key = fleet.create_key("aarhus-web").await.secret;
-    fleet.wait_ready().await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (fleet, key) = super::start_unlimited(builder.services(services).max_running(512)).await?;
     let idle = {
         let before = writes(&fleet).await;
         tokio::time::sleep(Duration::from_secs(5)).await;
--- a/standins/src/bin/rattanstall-load/main.rs
+++ b/standins/src/bin/rattanstall-load/main.rs
@@ -64,22 +64,30 @@
     }
 }
 
-/// The same call straight to the endpoint and through gateway and agent.
-async fn measure_overhead(rate: f64, seconds: f64) -> Result<(), Box<dyn Error>> {
-    let services = vec![("orders".to_owned(), 0)];
-    let builder = FleetBuilder::default()
-        .engines(0)
-        .models(0)
-        .max_running(512);
-    let fleet = builder.services(services).start()?;
+/// A ready fleet whose workspaces are practically without limits, and a key.
+async fn start_unlimited(builder: FleetBuilder) -> Result<(Fleet, String), Box<dyn Error>> {
+    const UNLIMITED: u64 = 10_000_000;
+    let fleet = builder.start()?;
     let mut document = Document::read(CONFIGURATION.as_ref())?;
     for workspace in &mut document.workspaces {
-        (workspace.rate_tokens_per_s, workspace.burst_tokens) = (1_000_000, 1_000_000);
+        (workspace.rate_tokens_per_s, workspace.burst_tokens) = (UNLIMITED, UNLIMITED);
     }
     fleet.apply(document).await;
     let key = fleet.create_key("aarhus-web").await.secret;
     fleet.wait_ready().await;
+    // Buckets start empty.
     tokio::time::sleep(Duration::from_secs(1)).await;
+    Ok((fleet, key))
+}
+
+/// The same call straight to the endpoint and through gateway and agent.
+async fn measure_overhead(rate: f64, seconds: f64) -> Result<(), Box<dyn Error>> {
+    let services = vec![("orders".to_owned(), 0)];
+    let builder = FleetBuilder::default()
+        .engines(0)
+        .models(0)
+        .max_running(512);
+    let (fleet, key) = start_unlimited(builder.services(services)).await?;
     let stream = Stream {
         method: Method::GET,
         path: "/stock/brie".to_owned(),
--- a/standins/src/bin/rattanstall-load/tokens.rs
+++ b/standins/src/bin/rattanstall-load/tokens.rs
@@ -1,11 +1,9 @@
 //! Processor time of gateway and agent for each streamed token.
 
 use std::error::Error;
-use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http::Method;
-use rattanstall::config::Document;
 use rattanstall_standins::caller::{Ask, Caller, chat};
 use rattanstall_standins::fleet::FleetBuilder;
 use rattanstall_standins::usage::cpu_ms;
@@ -19,15 +17,7 @@
 pub async fn measure() -> Result<(), Box<dyn Error>> {
     let builder = FleetBuilder::default().gateways(1).engines(1).models(1);
     let builder = builder.services(Vec::new()).step_us(1_000).max_running(512);
-    let fleet = builder.start()?;
-    let mut document = Document::read(Path::new(super::CONFIGURATION))?;
-    for workspace in &mut document.workspaces {
-        (workspace.rate_tokens_per_s, workspace.burst_tokens) = (10_000_000, 10_000_000);
-    }
-    fleet.apply(document).await;
-    let key = fleet.create_key("aarhus-web").await.secret;
-    fleet.wait_ready().await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (fleet, key) = super::start_unlimited(builder).await?;
     let caller = Caller::new(fleet.gateways[0].listen);
     let pids = [fleet.gateways[0].pid(), fleet.agents[0].pid()];
     let cpu = || pids.map(|pid| pid.map_or(0, cpu_ms));
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,7 +17,6 @@
 use std::sync::Arc;
 
 use rattanstall::http::{Respond, serve};
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Serves until SIGTERM or SIGINT, then exits at once.
 pub fn run_until_stopped<S: Respond>(
@@ -29,17 +28,6 @@
         .enable_all()
         .build()
         .map_err(|e| rattanstall::error::Error::io("starting the runtime", e))?;
-    runtime.block_on(async {
-        let (Ok(mut term), Ok(mut int)) = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::interrupt()),
-        ) else {
-            return;
-        };
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-    });
+    runtime.block_on(rattanstall::signals::wait_for_stop());
     std::process::exit(0);
 }
--- a/standins/src/limits.rs
+++ b/standins/src/limits.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod owner;
+mod parts;
 mod soak;
 
 use compact_str::{CompactString, format_compact};
@@ -20,6 +21,7 @@
 };
 use rattanstall::wire::Member;
 
+use parts::{Flying, Gateway, Packet, Request, Service};
 pub use soak::{random_failure, soak_run};
 
 /// One step of virtual time.
@@ -81,65 +83,6 @@
     pub events: u64,
 }
 
-#[derive(Clone, Debug)]
-enum Packet {
-    Heartbeat {
-        sent_at: Millis,
-        echo: Option<Millis>,
-        term: u64,
-    },
-    Share(ShareMessage),
-    /// The platform's answer to a read.
-    Read(ShareEvent),
-    Renewed {
-        sent_at: Millis,
-    },
-}
-
-#[derive(Debug)]
-struct Flying {
-    due: Millis,
-    to: Member,
-    from: Member,
-    packet: Packet,
-}
-
-#[derive(Debug)]
-struct Request {
-    workspace: usize,
-    cost: u64,
-    arrived: Millis,
-}
-
-#[derive(Debug)]
-struct Gateway {
-    member: Member,
-    escrow: Escrow,
-    buckets: Vec<Bucket>,
-    right_until: Millis,
-    heard: Vec<(Member, Millis)>,
-    waiting: Vec<Request>,
-    is_leased: bool,
-    frozen_until: Millis,
-    /// Cut from the platform's service until then.
-    cut_until: Millis,
-    /// Cut from all other gateways until then.
-    alone_until: Millis,
-    ticked: Millis,
-    beat: Millis,
-    read: Millis,
-    renewed: Millis,
-}
-
-/// The fakes of the platform's service.
-#[derive(Debug, Default)]
-struct Service {
-    term: Term,
-    modified: u64,
-    leases: Vec<(Member, Millis)>,
-    down_until: Millis,
-}
-
 /// A fleet of ledgers.
 #[derive(Debug)]
 pub struct Fleet {
