--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -293,3 +293,96 @@
     bench.repeat_until_done("basket-30", 30).await;
     assert_eq!(bench.runs(30).await, 1);
 }
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    GatewayKilled,
+    AgentKilled,
+    AgentFrozen,
+    EndpointFrozen,
+    ServiceDown,
+    RepliesLost,
+}
+
+const FAILURES: [Failure; 6] = [
+    Failure::GatewayKilled,
+    Failure::AgentKilled,
+    Failure::AgentFrozen,
+    Failure::EndpointFrozen,
+    Failure::ServiceDown,
+    Failure::RepliesLost,
+];
+
+impl Bench {
+    async fn bring_about(&mut self, failure: Failure) {
+        match failure {
+            Failure::GatewayKilled => self.fleet.gateways[0].kill(),
+            Failure::AgentKilled => self.fleet.agents[0].kill(),
+            Failure::AgentFrozen => self.fleet.agents[0].signal(Signal::STOP),
+            Failure::EndpointFrozen => self.fleet.endpoints[0].signal(Signal::STOP),
+            Failure::ServiceDown => {
+                let outage = true;
+                let faults = Faults {
+                    outage,
+                    ..Faults::default()
+                };
+                self.set_platform_faults(faults).await;
+            }
+            Failure::RepliesLost => {
+                let lost_replies = 20;
+                let faults = Faults {
+                    lost_replies,
+                    ..Faults::default()
+                };
+                self.set_platform_faults(faults).await;
+            }
+        }
+    }
+
+    async fn mend(&mut self) {
+        self.set_platform_faults(Faults::default()).await;
+        self.fleet.agents[0].signal(Signal::CONT);
+        self.fleet.endpoints[0].signal(Signal::CONT);
+        if self.fleet.gateways[0].pid().is_none() {
+            self.fleet.restart(|fleet| &mut fleet.gateways[0]).unwrap();
+        }
+        if self.fleet.agents[0].pid().is_none() {
+            self.fleet.restart(|fleet| &mut fleet.agents[0]).unwrap();
+        }
+        self.fleet.wait_ready().await;
+    }
+}
+
+#[tokio::test]
+async fn pairs_of_failures_never_run_a_call_twice() {
+    let mut bench = Bench::start(1).await;
+    let keys: Vec<&'static str> = (0..100).map(|n| &*format!("pair-{n}").leak()).collect();
+    let mut order = 100;
+    for (n, first) in FAILURES.iter().enumerate() {
+        for second in &FAILURES[n + 1..] {
+            let key = keys[order as usize - 100];
+            let sent = bench.order(0, Some(key), order);
+            tokio::time::sleep(HALF_WAY).await;
+            bench.bring_about(*first).await;
+            tokio::time::sleep(HALF_WAY).await;
+            bench.bring_about(*second).await;
+            // What is sent while both last.
+            let during = bench.order(1, Some(key), order);
+            tokio::time::sleep(Duration::from_millis(2_600)).await;
+            bench.mend().await;
+            let answers = [sent.await.unwrap(), during.await.unwrap()];
+            let repeat = bench.order(2, Some(key), order).await.unwrap().unwrap();
+            tokio::time::sleep(Duration::from_millis(2 * WORK_MS)).await;
+            let runs = bench.runs(order).await;
+            for answer in answers.iter().flatten().chain([&repeat]) {
+                let is_running = answer.ran() == "unknown" || answer.ran() == "no";
+                assert!(runs <= 1, "{first:?} and {second:?}: ran {runs} times");
+                assert!(
+                    is_running || runs == 1,
+                    "{first:?} and {second:?}: {runs} runs, {answer:?}"
+                );
+            }
+            order += 1;
+        }
+    }
+}
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -65,6 +65,7 @@
 
     refuses_bad_input(&caller, &ask).await;
     endpoints_saw_no_key(&fleet).await;
+    nothing_shows_the_key(&fleet, &key).await;
     fleet.stop().expect("every process ends with success");
 }
 
@@ -122,3 +123,27 @@
         }
     }
 }
+
+/// Searches logs, state dumps, metrics and the platform's store for the secret.
+async fn nothing_shows_the_key(fleet: &Fleet, key: &str) {
+    let mut places = Vec::new();
+    for file in std::fs::read_dir(fleet.dir()).expect("the fleet's directory") {
+        let file = file.expect("an entry").path();
+        let text = std::fs::read_to_string(&file).expect("a readable file");
+        places.push((file.display().to_string(), text));
+    }
+    for process in fleet.gateways.iter().chain(&fleet.agents) {
+        let caller = Caller::new(process.admin.expect("an operators' port"));
+        for path in ["/state", "/metrics"] {
+            let answer = caller.ask(Method::GET, path, &Ask::default(), "").await;
+            let text = String::from_utf8_lossy(&answer.unwrap().body).into_owned();
+            places.push((format!("{} {path}", process.name), text));
+        }
+    }
+    let stored = fleet.operator().current().await.unwrap();
+    places.push(("store".to_owned(), format!("{:?}", stored.document())));
+    assert!(places.len() > 20);
+    for (place, text) in places {
+        assert!(!text.contains(key), "{place} shows the key");
+    }
+}
