--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -74,7 +74,7 @@
         Self { shared }
     }
 
-    async fn serve(&self, request: RequestId, mut req: Request) -> Result<Response, Refusal> {
+    async fn serve(&self, request: RequestId, req: &mut Request) -> Result<Response, Refusal> {
         let open = self.shared.open_request();
         let path = req.uri.path().to_owned();
         if path == "/healthz" {
@@ -84,19 +84,19 @@
             return self.serve_chat(request, req, open).await;
         }
         if path == "/v1/models" {
-            self.admit(&req)?;
+            self.admit(req)?;
             return Ok(self.list_models());
         }
         if let Some(id) = path.strip_prefix(OUTCOME_PREFIX) {
-            let caller = self.admit(&req)?;
+            let caller = self.admit(req)?;
             let id = id.parse().map_err(|_| Refusal::not_run(Code::NoOutcome))?;
             return serve_outcome(&self.shared, caller.workspace_name(), id).await;
         }
         let view = self.shared.view();
         let route = view.document.route_of(&path);
         let route = route.ok_or(Refusal::not_run(Code::NoRoute))?;
-        let caller = self.admit_to(route, &req)?;
-        let body = read_body(&mut req).await?;
+        let caller = self.admit_to(route, req)?;
+        let body = read_body(req).await?;
         let target = req.uri.path_and_query().map_or("/", |p| p.as_str());
         let asked = PlainCall {
             request,
@@ -115,14 +115,14 @@
     async fn serve_chat(
         &self,
         request: RequestId,
-        mut req: Request,
+        req: &mut Request,
         open: OpenRequest,
     ) -> Result<Response, Refusal> {
         if req.method != Method::POST {
             return Err(Refusal::not_run(Code::BadMethod));
         }
-        let caller = self.admit(&req)?;
-        let body = read_body(&mut req).await?;
+        let caller = self.admit(req)?;
+        let body = read_body(req).await?;
         let class = req.header("x-class");
         serve_model(&self.shared, request, caller, class, &body, open).await
     }
@@ -187,9 +187,9 @@
 }
 
 impl Respond for Front {
-    async fn respond(self: Arc<Self>, req: Request) -> Response {
+    async fn respond(self: Arc<Self>, mut req: Request) -> Response {
         let request = RequestId::random();
-        let mut res = match self.serve(request, req).await {
+        let mut res = match self.serve(request, &mut req).await {
             Ok(res) => res,
             Err(refusal) => {
                 let (code, ran) = (refusal.code.number(), refusal.ran.as_str());
@@ -199,7 +199,7 @@
             }
         };
         set_header(&mut res, "x-request-id", &request.to_string());
-        if self.shared.is_draining() {
+        if self.shared.is_draining() || !req.is_at_end() {
             set_header(&mut res, "connection", "close");
         }
         res
--- a/src/http.rs
+++ b/src/http.rs
@@ -37,6 +37,8 @@
 /// How long an idle caller connection is kept.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// The most that is read and dropped of a body that is too large, in bytes.
+const MAX_DROPPED_BYTES: usize = 8 << 20;
 /// Time for the last bytes of finished answers to be written.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
@@ -48,8 +50,10 @@
     pub uri: Uri,
     /// The headers.
     pub headers: HeaderMap,
-    /// The body, not yet read.
-    pub body: RequestBody,
+    /// The body, until it is read.
+    body: Option<RequestBody>,
+    /// Whether the connection stands at the end of this request.
+    is_at_end: bool,
 }
 
 /// Why a body could not be read.
@@ -69,35 +73,53 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Whether the whole request was read. If not, the connection cannot carry
+    /// another one, and the response must say so.
+    pub fn is_at_end(&self) -> bool {
+        self.is_at_end
+    }
+
     /// Reads the whole body within a size and a time.
     pub async fn read_body(
         &mut self,
         max_bytes: usize,
         timeout: Duration,
     ) -> std::result::Result<Bytes, BodyProblem> {
-        let body = std::mem::take(&mut self.body);
+        let Some(body) = self.body.take() else {
+            return Ok(Bytes::new());
+        };
         let read = read_limited(body, max_bytes);
-        match tokio::time::timeout(timeout, read).await {
-            Ok(result) => result,
-            Err(_) => Err(BodyProblem::Timeout),
-        }
+        let read = tokio::time::timeout(timeout, read).await;
+        let body = read.map_err(|_| BodyProblem::Timeout)??;
+        self.is_at_end = true;
+        Ok(body)
     }
 }
 
+/// Reads a body; a larger one is read on and dropped, up to a bound, so that
+/// the caller gets to see the refusal instead of a broken connection.
 async fn read_limited(
     body: RequestBody,
     max_bytes: usize,
 ) -> std::result::Result<Bytes, BodyProblem> {
     let mut body = pin!(body);
     let mut buf = BytesMut::new();
+    let mut dropped = 0;
     while let Some(chunk) = body.as_mut().data().await {
         let chunk = chunk.map_err(|_| BodyProblem::Broken)?;
-        if buf.len() + chunk.len() > max_bytes {
+        if dropped > 0 || buf.len() + chunk.len() > max_bytes {
+            dropped += chunk.len();
+        } else {
+            buf.extend_from_slice(&chunk);
+        }
+        if dropped > MAX_DROPPED_BYTES {
             return Err(BodyProblem::TooLarge);
         }
-        buf.extend_from_slice(&chunk);
     }
-    Ok(buf.freeze())
+    match dropped {
+        0 => Ok(buf.freeze()),
+        _ => Err(BodyProblem::TooLarge),
+    }
 }
 
 /// Something that answers HTTP requests.
@@ -148,11 +170,16 @@
     Body(body): Body<RequestBody>,
 ) -> Response {
     let service = cx.state().clone();
+    let headers = cx.req().headers().clone();
+    let has_length = headers.get(header::CONTENT_LENGTH);
+    let is_empty = has_length.is_none_or(|length| length == "0")
+        && !headers.contains_key(header::TRANSFER_ENCODING);
     let req = Request {
         method: cx.req().method().clone(),
         uri: cx.req().uri().clone(),
-        headers: cx.req().headers().clone(),
-        body,
+        headers,
+        body: Some(body),
+        is_at_end: is_empty,
     };
     service.respond(req).await
 }
