--- a/src/escrow/trade.rs
+++ b/src/escrow/trade.rs
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Asks one peer at a time for what is short.
+    /// Asks all live peers for what is short.
     pub(super) fn ask(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
         let others: Vec<Member> = self.live_others(now);
         if others.is_empty() || self.draining {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -97,8 +97,8 @@
     }
 }
 
-/// What a streamed answer belongs to.
-pub struct StreamInfo {
+/// What an answer belongs to.
+pub struct AnswerInfo {
     /// The request.
     pub request: RequestId,
     /// Who sent it.
@@ -112,7 +112,7 @@
 /// A streamed answer on its way to the caller.
 pub struct Streaming {
     shared: Arc<Shared>,
-    info: StreamInfo,
+    info: AnswerInfo,
     answer: OpenAnswer,
     charge: Charge,
     _open: OpenRequest,
@@ -138,7 +138,7 @@
     /// Prepares a stream.
     pub fn new(
         shared: Arc<Shared>,
-        info: StreamInfo,
+        info: AnswerInfo,
         answer: OpenAnswer,
         charge: Charge,
         open: OpenRequest,
@@ -218,16 +218,31 @@
     }
 
     fn finish(&self, code: u16) {
-        let workspace = self.info.caller.workspace_name();
-        let took = self.shared.now().since(self.info.arrived);
-        let metrics = &self.shared.metrics;
-        metrics.count_request(workspace, &self.info.class, code);
-        metrics.record_duration(&self.info.class, took);
+        self.info.finish(&self.shared, code);
+    }
+}
+
+impl AnswerInfo {
+    /// Counts and logs the end of an answer; code 0 stands for a whole one.
+    pub fn finish(&self, shared: &Shared, code: u16) {
+        let workspace = self.caller.workspace_name();
+        let took = shared.now().since(self.arrived);
+        let metrics = &shared.metrics;
+        metrics.count_request(workspace, &self.class, code);
+        metrics.record_duration(&self.class, took);
         log::info!(
             "request {} workspace {workspace} class {} code {code} in {} ms",
-            self.info.request,
-            self.info.class,
+            self.request,
+            self.class,
             took.0
         );
     }
+
+    /// Records when the answer began, against the class's target.
+    pub fn begin(&self, shared: &Shared, target_ms: u64) {
+        let after = shared.now().since(self.arrived);
+        let workspace = self.caller.workspace_name();
+        let metrics = &shared.metrics;
+        metrics.record_first_byte(workspace, &self.class, after, Millis(target_ms));
+    }
 }
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -9,8 +9,8 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::answer::{Refusal, StreamInfo, Streaming};
-use super::call::send;
+use super::answer::{AnswerInfo, Refusal, Streaming};
+use super::call::{OpenAnswer, send};
 use super::front::Caller;
 use super::plain::read_answer;
 use super::shared::{OpenRequest, Shared};
@@ -161,35 +161,30 @@
             return Err(refusal);
         }
     };
-    let first = shared.now().since(arrived);
-    let target = Millis(class.first_token_ms);
-    let workspace = caller.workspace_name();
-    shared
-        .metrics
-        .record_first_byte(workspace, &class.name, first, target);
+    let info = AnswerInfo {
+        request,
+        caller,
+        class: class.name,
+        arrived,
+    };
+    info.begin(shared, class.first_token_ms);
     if asked.is_streamed && answer.status == StatusCode::OK {
         let (status, content_type) = (answer.status, answer.content_type.clone());
-        let info = StreamInfo {
-            request,
-            caller,
-            class: class.name,
-            arrived,
-        };
         let streaming = Streaming::new(shared.clone(), info, answer, charge, open);
         return Ok(streaming.into_response(status, &content_type));
     }
-    whole_answer(shared, request, caller, answer, charge).await
+    whole_answer(shared, info, answer, charge).await
 }
 
 async fn whole_answer(
     shared: &Arc<Shared>,
-    request: RequestId,
-    caller: Caller,
-    mut answer: super::call::OpenAnswer,
+    info: AnswerInfo,
+    mut answer: OpenAnswer,
     mut charge: Charge,
 ) -> Result<Response, Refusal> {
-    let body = read_answer(shared, request, &caller, &mut answer).await?;
+    let body = read_answer(shared, info.request, &info.caller, &mut answer).await?;
     charge.observe(&body);
+    info.finish(shared, 0);
     Ok(whole(answer.status, &answer.content_type, body))
 }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 
-use super::answer::Refusal;
+use super::answer::{AnswerInfo, Refusal};
 use super::call::{OpenAnswer, send};
 use super::front::Caller;
 use super::model::{charge, class_of};
@@ -83,6 +83,14 @@
         settle(shared, claimed, &result).await;
     }
     let (answer, body) = result?;
+    let info = AnswerInfo {
+        request: asked.request,
+        caller: asked.caller,
+        class: class.name,
+        arrived,
+    };
+    info.begin(shared, class.first_token_ms);
+    info.finish(shared, 0);
     Ok(whole(answer.status, &answer.content_type, body))
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,5 @@
 //! Small helpers around the HTTP server and client libraries.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -286,18 +285,6 @@
     client.request(req).await.map_err(http_error)
 }
 
-/// Turns a stream of infallible parts into one that a response takes.
-pub fn infallible<S>(stream: S) -> impl Stream<Item = std::result::Result<Bytes, std::io::Error>>
-where
-    S: Stream<Item = std::result::Result<Bytes, Infallible>>,
-{
-    use futures_util::StreamExt as _;
-    stream.map(|item| match item {
-        Ok(bytes) => Ok(bytes),
-        Err(never) => match never {},
-    })
-}
-
 fn http_error(error: impl std::fmt::Display) -> Error {
     Error::Http(error.to_string())
 }
--- a/standins/src/bin/rattanstall-quickstart/main.rs
+++ b/standins/src/bin/rattanstall-quickstart/main.rs
@@ -19,7 +19,7 @@
     runtime.block_on(show(&fleet))?;
     if is_kept {
         print_addresses(&fleet);
-        runtime.block_on(tokio::signal::ctrl_c())?;
+        runtime.block_on(rattanstall::signals::wait_for_stop());
     }
     fleet.stop()?;
     println!("quickstart: ok");
