Take a call out of the queue when its key is withdrawn

Cause: the gateway checked the key before it sent a call and while the answer came, but not while it waited for an agent's queue, which for batch work can last hours. Found by reading the path of one request; red first: a_withdrawn_key_leaves_the_queue, no answer within 10 s. Change: the key is checked again before each attempt, and a withdrawal while an attempt waits drops it, which takes it out of the queue; the answer is 2002.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 
 use super::answer::Refusal;
+use super::front::Caller;
 use super::links::{CountedCall, Link};
 use super::shared::Shared;
 use crate::clock::Millis;
@@ -44,6 +45,7 @@
 /// Sends a call to the best agent, and on to others while it is safe.
 pub async fn send(
     shared: &Arc<Shared>,
+    caller: &Caller,
     mut call: Call,
     due: Millis,
 ) -> Result<OpenAnswer, Refusal> {
@@ -56,13 +58,23 @@
         if !tried.is_empty() && !shared.take_retry() {
             break;
         }
+        if !caller.is_admitted(shared) {
+            return Err(Refusal::not_run(Code::BadKey));
+        }
         tried.push(link.name.clone());
         let left = due.since(shared.now());
         if left == Millis::ZERO {
             return Err(Refusal::not_run(Code::TargetMissed).retry_after(NO_ENDPOINT_RETRY));
         }
         call.first_token_in_ms = left.0;
-        match attempt(&link, &call).await {
+        // Dropping an attempt takes the call out of the agent's queue.
+        let attempted = tokio::select! {
+            attempted = attempt(&link, &call) => attempted,
+            () = caller.withdrawn(shared) => {
+                return Err(Refusal::failed(Code::KeyWithdrawn, Ran::Unknown));
+            }
+        };
+        match attempted {
             Attempt::Answered(answer) => return Ok(answer),
             Attempt::NotRun(refusal) => last = refusal,
             Attempt::Failed(refusal) if call.idempotent => last = refusal,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -61,6 +61,16 @@
         let key = find(&view.document.keys, digest);
         key.is_some_and(|key| key.workspace == workspace.name)
     }
+
+    /// Waits until the caller's key is withdrawn.
+    pub async fn withdrawn(&self, shared: &Shared) {
+        let mut changed = shared.subscribe();
+        while self.is_admitted(shared) {
+            if changed.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
 }
 
 /// Answers callers.
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -152,7 +152,7 @@
         cost_tokens: asked.cost,
         body: asked.body,
     };
-    let answer = match send(shared, call, due).await {
+    let answer = match send(shared, &caller, call, due).await {
         Ok(answer) => answer,
         Err(refusal) => {
             if refusal.ran == Ran::No {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -100,7 +100,7 @@
     call: Call,
     due: Millis,
 ) -> Result<(OpenAnswer, Bytes), Refusal> {
-    let mut answer = send(shared, call, due).await?;
+    let mut answer = send(shared, &asked.caller, call, due).await?;
     let body = read_answer(shared, asked.request, &asked.caller, &mut answer).await?;
     Ok((answer, body))
 }
--- a/standins/tests/configuration.rs
+++ b/standins/tests/configuration.rs
@@ -120,6 +120,51 @@
     }
 }
 
+#[tokio::test]
+async fn a_withdrawn_key_leaves_the_queue() {
+    let builder = FleetBuilder::default()
+        .engines(1)
+        .models(1)
+        .services(Vec::new());
+    let builder = builder.step_us(20_000).max_running(1);
+    let fleet = builder.start().expect("the fleet starts");
+    fleet.apply(document()).await;
+    fleet.wait_ready().await;
+    let running = fleet.create_key("aarhus-web").await;
+    let waiting = fleet.create_key("aarhus-web").await;
+    let caller = Caller::new(fleet.gateways[0].listen);
+    // Occupies the engine for 40 s.
+    let _stream = open_stream(&caller, &running.secret).await;
+    let asked = {
+        let (caller, secret) = (caller.clone(), waiting.secret.clone());
+        tokio::spawn(async move {
+            let ask = Ask {
+                key: Some(&secret),
+                class: Some("nightly"),
+                ..Ask::default()
+            };
+            caller
+                .post(CHAT, &ask, &chat("m0", "hello", 2, false))
+                .await
+                .unwrap()
+        })
+    };
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet
+        .operator()
+        .withdraw_key(&waiting.digest)
+        .await
+        .unwrap();
+    let answer = tokio::time::timeout(Duration::from_secs(10), asked).await;
+    let answer = answer.expect("the answer comes at once").unwrap();
+    assert_eq!(answer.code(), 2002, "{answer:?}");
+    let history = Caller::new(fleet.endpoints[0].listen)
+        .get("/control/history")
+        .await;
+    let runs = history.unwrap()["runs"].as_array().unwrap().len();
+    assert_eq!(runs, 1, "the request never reached the engine");
+}
+
 #[tokio::test]
 async fn a_caller_who_leaves_cancels_the_work() {
     let fleet = start().await;
