End running keyed answers when the configuration cannot be confirmed

Cause: an isolated gateway refused new keyed requests but let running ones go on, though their keys may have been withdrawn. Change: answers, waits and attempts ask one question, whether the caller's key still counts; it does not a second after new requests are refused.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -194,8 +194,8 @@
 
     async fn step(&mut self) -> Step {
         loop {
-            if !self.info.caller.is_admitted(&self.shared) {
-                return Step::Fail(Refusal::failed(Code::KeyWithdrawn, Ran::Yes));
+            if let Some(code) = self.info.caller.objection(&self.shared) {
+                return Step::Fail(Refusal::failed(code, Ran::Yes));
             }
             tokio::select! {
                 reply = self.answer.frames.next::<Reply>() => return self.to_step(reply),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -58,8 +58,8 @@
         if !tried.is_empty() && !shared.take_retry() {
             break;
         }
-        if !caller.is_admitted(shared) {
-            return Err(Refusal::not_run(Code::BadKey));
+        if let Some(code) = caller.objection(shared) {
+            return Err(Refusal::not_run(code));
         }
         tried.push(link.name.clone());
         let left = due.since(shared.now());
@@ -70,8 +70,8 @@
         // Dropping an attempt takes the call out of the agent's queue.
         let attempted = tokio::select! {
             attempted = attempt(&link, &call) => attempted,
-            () = caller.withdrawn(shared) => {
-                return Err(Refusal::failed(Code::KeyWithdrawn, Ran::Unknown));
+            code = caller.objected(shared) => {
+                return Err(Refusal::failed(code, Ran::Unknown));
             }
         };
         match attempted {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
+use tokio::time::timeout;
 
 use super::answer::Refusal;
 use super::model::serve_model;
@@ -24,6 +25,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// When to come back to a gateway that cannot confirm its configuration.
 const STALE_RETRY: Millis = Millis(1_000);
+/// How much longer running requests go on without a confirmed configuration.
+const STALE_GRACE: Millis = Millis(1_000);
+/// Time between two looks at whether the configuration is confirmed.
+const STALE_POLL: Duration = Duration::from_millis(250);
 /// The path of requests to models.
 const CHAT_PATH: &str = "/v1/chat/completions";
 /// The prefix of questions about an outcome.
@@ -52,23 +57,29 @@
         }
     }
 
-    /// Whether the caller's key is still in force, as far as this gateway may tell.
-    pub fn is_admitted(&self, shared: &Shared) -> bool {
+    /// Why the caller's key does not count any more, if so. A gateway that
+    /// cannot confirm its configuration cannot know, and lets nobody go on.
+    pub fn objection(&self, shared: &Shared) -> Option<Code> {
         let Self::Keyed { digest, workspace } = self else {
-            return true;
+            return None;
         };
+        if shared.now() > shared.keyed_until() + STALE_GRACE {
+            return Some(Code::ConfigurationStale);
+        }
         let view = shared.view();
         let key = find(&view.document.keys, digest);
-        key.is_some_and(|key| key.workspace == workspace.name)
+        let is_known = key.is_some_and(|key| key.workspace == workspace.name);
+        (!is_known).then_some(Code::KeyWithdrawn)
     }
 
-    /// Waits until the caller's key is withdrawn.
-    pub async fn withdrawn(&self, shared: &Shared) {
+    /// Waits until the caller's key does not count any more.
+    pub async fn objected(&self, shared: &Shared) -> Code {
         let mut changed = shared.subscribe();
-        while self.is_admitted(shared) {
-            if changed.changed().await.is_err() {
-                return std::future::pending().await;
+        loop {
+            if let Some(code) = self.objection(shared) {
+                return code;
             }
+            let _ = timeout(STALE_POLL, changed.changed()).await;
         }
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -113,14 +113,11 @@
     answer: &mut OpenAnswer,
 ) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
-    let mut changed = shared.subscribe();
     loop {
-        if !caller.is_admitted(shared) {
-            return Err(Refusal::failed(Code::KeyWithdrawn, Ran::Yes));
-        }
         let reply = tokio::select! {
+            biased;
+            code = caller.objected(shared) => return Err(Refusal::failed(code, Ran::Yes)),
             reply = answer.frames.next::<Reply>() => reply,
-            _ = changed.changed() => continue,
         };
         match reply {
             Ok(Some(Reply::Chunk(chunk))) if body.len() + chunk.len() <= MAX_ANSWER => {
--- a/standins/tests/configuration.rs
+++ b/standins/tests/configuration.rs
@@ -73,24 +73,29 @@
     }
 }
 
-#[tokio::test]
-async fn a_withdrawn_key_cuts_running_streams() {
-    let fleet = start().await;
-    let key = fleet.create_key("aarhus-web").await;
-    let caller = Caller::new(fleet.gateways[2].listen);
-    let mut body = open_stream(&caller, &key.secret).await;
-    fleet.operator().withdraw_key(&key.digest).await.unwrap();
+/// Reads a stream to its end, and tells whether it was cut.
+async fn read_to_end(mut body: Incoming) -> (String, bool) {
     let mut text = String::new();
-    let is_cut = loop {
+    loop {
         match body.frame().await {
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
                 text.push_str(&String::from_utf8_lossy(&data));
             }
-            Some(Err(_)) => break true,
-            None => break false,
+            Some(Err(_)) => return (text, true),
+            None => return (text, false),
         }
-    };
+    }
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_cuts_running_streams() {
+    let fleet = start().await;
+    let key = fleet.create_key("aarhus-web").await;
+    let caller = Caller::new(fleet.gateways[2].listen);
+    let body = open_stream(&caller, &key.secret).await;
+    fleet.operator().withdraw_key(&key.digest).await.unwrap();
+    let (text, is_cut) = read_to_end(body).await;
     assert!(is_cut, "the stream ends in a broken connection");
     assert!(
         text.contains("\"code\":2002"),
@@ -265,10 +270,13 @@
         assert_eq!(answer.status, 200, "{answer:?}");
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
+    let stream = open_stream(&caller, &key.secret).await;
     for gateway in &fleet.gateways[1..] {
         gateway.signal(Signal::STOP);
     }
     wait_for_code(&caller, &key.secret, 2005).await;
+    let (text, is_cut) = read_to_end(stream).await;
+    assert!(is_cut && text.contains("\"code\":2005"), "{text}");
     let open = caller
         .ask(Method::GET, "/opening-hours", &Ask::default(), "")
         .await;
