--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::endpoint::CallProblem;
-use super::queue::{Refusal, Ticket, Wish};
+use super::queue::{QueueRequest, Refusal, Ticket};
 use super::{Agent, Grant};
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
@@ -69,14 +69,14 @@
             return;
         }
         let now = self.now();
-        let wish = Wish {
+        let req = QueueRequest {
             workspace: call.workspace.clone(),
             urgency: call.urgency,
             due: now + Millis(call.first_token_in_ms),
             cost: call.cost_tokens,
         };
         let due_in = Millis(call.first_token_in_ms);
-        let (ticket, granted) = match self.enqueue(wish) {
+        let (ticket, granted) = match self.enqueue(req) {
             Ok(queued) => queued,
             Err(refusal) => {
                 refuse(&mut tx, &call, refusal.code, refusal.retry_after.0).await;
@@ -124,8 +124,8 @@
         }
     }
 
-    fn enqueue(&self, wish: Wish) -> Result<(Ticket, oneshot::Receiver<Grant>), Refusal> {
-        let ticket = self.queue.borrow_mut().push(self.now(), wish)?;
+    fn enqueue(&self, req: QueueRequest) -> Result<(Ticket, oneshot::Receiver<Grant>), Refusal> {
+        let ticket = self.queue.borrow_mut().push(self.now(), req)?;
         let evicted = self.queue.borrow_mut().take_evicted();
         for (ticket, refusal) in evicted {
             self.answer_waiting(ticket, Err(refusal));
--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -16,9 +16,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(u64);
 
-/// A request that wants to run.
+/// A request that asks to run.
 #[derive(Clone, Debug)]
-pub struct Wish {
+pub struct QueueRequest {
     /// Its workspace.
     pub workspace: CompactString,
     /// Its urgency.
@@ -41,7 +41,7 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     ticket: Ticket,
-    wish: Wish,
+    req: QueueRequest,
 }
 
 #[derive(Clone, Debug)]
@@ -94,25 +94,24 @@
     ///
     /// A full queue makes room by giving up the request that would run last, if
     /// that is not the new one; [`Queue::take_evicted`] tells which.
-    pub fn push(&mut self, now: Millis, wish: Wish) -> Result<Ticket, Refusal> {
-        self.welcome(&wish.workspace);
+    pub fn push(&mut self, now: Millis, req: QueueRequest) -> Result<Ticket, Refusal> {
+        self.raise_to_floor(&req.workspace);
         if self.running.len() >= self.max_running {
-            let wait = self.expected_wait(&wish);
+            let wait = self.expected_wait(&req);
             let refuse = |code| Refusal {
                 code,
                 retry_after: wait.max(Millis(1)),
             };
-            if now + wait > wish.due {
+            if now + wait > req.due {
                 return Err(refuse(Code::TargetMissed));
             }
-            if self.waiting.len() >= self.max_waiting && !self.make_room(&wish, refuse(Code::Busy))
-            {
+            if self.waiting.len() >= self.max_waiting && !self.make_room(&req, refuse(Code::Busy)) {
                 return Err(refuse(Code::Busy));
             }
         }
         let ticket = Ticket(self.next);
         self.next += 1;
-        self.waiting.push(Waiting { ticket, wish });
+        self.waiting.push(Waiting { ticket, req });
         Ok(ticket)
     }
 
@@ -121,13 +120,13 @@
         std::mem::take(&mut self.evicted)
     }
 
-    /// Gives up the request that would run last, if that is after `wish`.
-    fn make_room(&mut self, wish: &Wish, refusal: Refusal) -> bool {
+    /// Gives up the request that would run last, if that is after `req`.
+    fn make_room(&mut self, req: &QueueRequest, refusal: Refusal) -> bool {
         let last = self.waiting.iter().enumerate();
-        let Some((at, last)) = last.max_by_key(|(_, w)| self.rank(&w.wish)) else {
+        let Some((at, last)) = last.max_by_key(|(_, w)| self.rank(&w.req)) else {
             return false;
         };
-        if self.rank(&last.wish) <= self.rank(wish) {
+        if self.rank(&last.req) <= self.rank(req) {
             return false;
         }
         let evicted = self.waiting.remove(at);
@@ -136,8 +135,8 @@
     }
 
     /// The order in which requests run: smaller goes first.
-    fn rank(&self, wish: &Wish) -> (Urgency, u64, Millis) {
-        (wish.urgency, self.served(&wish.workspace), wish.due)
+    fn rank(&self, req: &QueueRequest) -> (Urgency, u64, Millis) {
+        (req.urgency, self.served(&req.workspace), req.due)
     }
 
     /// Starts the next request, if one waits and may run.
@@ -149,10 +148,10 @@
             .waiting
             .iter()
             .enumerate()
-            .min_by_key(|(_, w)| self.rank(&w.wish))?;
+            .min_by_key(|(_, w)| self.rank(&w.req))?;
         let next = self.waiting.remove(at);
-        if let Ok(at) = self.find(&next.wish.workspace) {
-            self.services[at].served += next.wish.cost.max(1);
+        if let Ok(at) = self.find(&next.req.workspace) {
+            self.services[at].served += next.req.cost.max(1);
         }
         self.running.push(next.ticket);
         Some(next.ticket)
@@ -171,19 +170,19 @@
     }
 
     /// How long a new request would wait behind those that run before it.
-    fn expected_wait(&self, wish: &Wish) -> Millis {
-        let rank = self.rank(wish);
-        let ahead = self.waiting.iter().filter(|w| self.rank(&w.wish) <= rank);
+    fn expected_wait(&self, req: &QueueRequest) -> Millis {
+        let rank = self.rank(req);
+        let ahead = self.waiting.iter().filter(|w| self.rank(&w.req) <= rank);
         let ahead = ahead.count() as u64 + 1;
         Millis(self.run_ms * ahead / self.max_running as u64)
     }
 
     /// A workspace that comes back starts level with the least served one that
     /// waits, so that it cannot save up a claim to the endpoint.
-    fn welcome(&mut self, workspace: &str) {
+    fn raise_to_floor(&mut self, workspace: &str) {
         let waiting = self.waiting.iter();
-        let floor = waiting.map(|w| self.served(&w.wish.workspace)).min();
-        let is_waiting = self.waiting.iter().any(|w| w.wish.workspace == workspace);
+        let floor = waiting.map(|w| self.served(&w.req.workspace)).min();
+        let is_waiting = self.waiting.iter().any(|w| w.req.workspace == workspace);
         match self.find(workspace) {
             Ok(at) if !is_waiting => {
                 let service = &mut self.services[at];
--- a/src/escrow.rs
+++ b/src/escrow.rs
@@ -74,7 +74,7 @@
     grants: Vec<PendingGrant>,
     next_grant: u64,
     next_peer: usize,
-    lost: bool,
+    has_lost_grant: bool,
     draining: bool,
     last_tick: Millis,
     levelled: Millis,
@@ -103,7 +103,7 @@
             grants: Vec::new(),
             next_grant: 1,
             next_peer: 0,
-            lost: false,
+            has_lost_grant: false,
             draining: false,
             last_tick: Millis::ZERO,
             levelled: Millis::ZERO,
@@ -169,7 +169,7 @@
         let timed_out = |grant: &PendingGrant| now.since(grant.sent_at) > GRANT_TIMEOUT;
         if self.grants.iter().any(timed_out) {
             self.grants.retain(|grant| !timed_out(grant));
-            self.lost = true;
+            self.has_lost_grant = true;
         }
         self.extend_right(now, out);
         self.try_activate(now, out);
--- a/src/escrow/right.rs
+++ b/src/escrow/right.rs
@@ -29,7 +29,8 @@
         }
     }
 
-    /// Keeps of an earlier term's right what its vouches can still cover.
+    /// Reduces the right from an earlier term to what the lease and that term's
+    /// vouches still cover.
     pub(super) fn limit_right(&mut self, now: Millis, out: &mut Vec<ShareEffect>) {
         let leased_until = self.renewed.map_or(Millis::ZERO, |at| at + LEASE_RIGHT);
         let covered = leased_until.max(now + VOUCH_RIGHT);
--- a/src/escrow/term.rs
+++ b/src/escrow/term.rs
@@ -62,7 +62,7 @@
         self.term = term;
         self.active = false;
         self.adopted_at = now;
-        self.lost = false;
+        self.has_lost_grant = false;
         self.grants.clear();
         if !is_member {
             self.right_until = Millis::ZERO;
@@ -132,7 +132,7 @@
         if leased.is_empty() || now.since(sent_at) > LEASE_RIGHT {
             return;
         }
-        if is_same && !(self.lost && is_settled) {
+        if is_same && !(self.has_lost_grant && is_settled) {
             return;
         }
         let out_of_term = |member: &&Member| !leased.contains(member);
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -194,7 +194,7 @@
 
     async fn step(&mut self) -> Step {
         loop {
-            if let Some(code) = self.info.caller.objection(&self.shared) {
+            if let Some(code) = self.info.caller.rejection(&self.shared) {
                 return Step::Fail(Refusal::failed(code, Ran::Yes));
             }
             tokio::select! {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -58,7 +58,7 @@
         if !tried.is_empty() && !shared.take_retry() {
             break;
         }
-        if let Some(code) = caller.objection(shared) {
+        if let Some(code) = caller.rejection(shared) {
             return Err(Refusal::not_run(code));
         }
         tried.push(link.name.clone());
@@ -70,7 +70,7 @@
         // Dropping an attempt takes the call out of the agent's queue.
         let attempted = tokio::select! {
             attempted = attempt(&link, &call) => attempted,
-            code = caller.objected(shared) => {
+            code = caller.rejected(shared) => {
                 return Err(Refusal::failed(code, Ran::Unknown));
             }
         };
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -59,7 +59,7 @@
 
     /// Why the caller's key does not count any more, if so. A gateway that
     /// cannot confirm its configuration cannot know, and lets nobody go on.
-    pub fn objection(&self, shared: &Shared) -> Option<Code> {
+    pub fn rejection(&self, shared: &Shared) -> Option<Code> {
         let Self::Keyed { digest, workspace } = self else {
             return None;
         };
@@ -73,10 +73,10 @@
     }
 
     /// Waits until the caller's key does not count any more.
-    pub async fn objected(&self, shared: &Shared) -> Code {
+    pub async fn rejected(&self, shared: &Shared) -> Code {
         let mut changed = shared.subscribe();
         loop {
-            if let Some(code) = self.objection(shared) {
+            if let Some(code) = self.rejection(shared) {
                 return code;
             }
             let _ = timeout(STALE_POLL, changed.changed()).await;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -116,7 +116,7 @@
     loop {
         let reply = tokio::select! {
             biased;
-            code = caller.objected(shared) => return Err(Refusal::failed(code, Ran::Yes)),
+            code = caller.rejected(shared) => return Err(Refusal::failed(code, Ran::Yes)),
             reply = answer.frames.next::<Reply>() => reply,
         };
         match reply {
--- a/standins/src/bin/rattanstall-experiment/overload.rs
+++ b/standins/src/bin/rattanstall-experiment/overload.rs
@@ -8,7 +8,7 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use rattanstall::agent::queue::{Queue, Ticket, Wish};
+use rattanstall::agent::queue::{Queue, QueueRequest, Ticket};
 use rattanstall::clock::Millis;
 use rattanstall::config::Urgency;
 
@@ -172,8 +172,8 @@
     arrival.at + target_of(arrival.stream) - PREFILL
 }
 
-fn wish(arrival: &Arrival) -> Wish {
-    Wish {
+fn wish(arrival: &Arrival) -> QueueRequest {
+    QueueRequest {
         workspace: compact_str::format_compact!("w{}", arrival.stream),
         urgency: match arrival.stream {
             BATCH => Urgency::Batch,
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -1,13 +1,13 @@
 //! The agent's queue: bounds hold, nothing is lost, and batch and noisy work give way.
 
 use proptest::prelude::*;
-use rattanstall::agent::queue::{Queue, Ticket, Wish};
+use rattanstall::agent::queue::{Queue, QueueRequest, Ticket};
 use rattanstall::clock::Millis;
 use rattanstall::code::Code;
 use rattanstall::config::Urgency;
 
-fn wish(workspace: &str, urgency: Urgency, due: u64) -> Wish {
-    Wish {
+fn wish(workspace: &str, urgency: Urgency, due: u64) -> QueueRequest {
+    QueueRequest {
         workspace: workspace.into(),
         urgency,
         due: Millis(due),
