Keep the right to serve keyed routes until its end when an outage ends

Cause: while the service is out of reach a majority of gateways carries keyed routes. Ruled out: the claim's record (it was right), the test's waiting. Change: what was granted stands until its end, 2 s at most. Red first: the_end_of_an_outage_refuses_nobody, keyed until 2,010 at 9,100 ms. After: passed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -416,10 +416,9 @@
         if self.platform_failed && is_known {
             until = until.max(self.majority_heard_until());
         }
-        if self.configuration.is_behind() {
-            until = until.min(self.keyed_until);
-        }
-        if until != self.keyed_until && (until > now || self.keyed_until > now) {
+        // What was granted stands until its end, also when the service comes back
+        // before the configuration is confirmed again.
+        if until > self.keyed_until && until > now && !self.configuration.is_behind() {
             self.keyed_until = until;
             out.push(Effect::SetKeyedUntil(until));
         }
