--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,8 +3,9 @@
 use std::ops::{Add, Sub};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time, or a span between two, in milliseconds.
@@ -50,19 +51,21 @@
     }
 }
 
-/// A monotonic clock. Clones share the same origin.
+/// A monotonic clock that counts the time during which the machine is
+/// suspended, so that leases end by it as they do at the platform. Clones share
+/// the same origin.
 #[derive(Clone, Debug)]
 pub enum Clock {
     /// Counts from the moment the process created it.
-    System(Instant),
+    System(Millis),
     /// Moves only when a test advances it.
     Manual(Arc<AtomicU64>),
 }
 
 impl Clock {
-    /// A clock that follows the operating system's monotonic time.
+    /// A clock that follows the operating system's time since boot.
     pub fn system() -> Self {
-        Self::System(Instant::now())
+        Self::System(since_boot())
     }
 
     /// A clock that stands at zero until `advance` is called.
@@ -73,7 +76,7 @@
     /// The time since the clock's origin.
     pub fn now(&self) -> Millis {
         match self {
-            Self::System(origin) => Millis(origin.elapsed().as_millis() as u64),
+            Self::System(origin) => since_boot().since(*origin),
             Self::Manual(now) => Millis(now.load(Ordering::Acquire)),
         }
     }
@@ -86,6 +89,11 @@
     }
 }
 
+fn since_boot() -> Millis {
+    let now = clock_gettime(ClockId::Boottime);
+    Millis(now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000)
+}
+
 /// Wall-clock time in milliseconds since the Unix epoch, for records only.
 pub fn unix_now() -> Millis {
     let elapsed = SystemTime::now()
--- a/src/code.rs
+++ b/src/code.rs
@@ -82,6 +82,8 @@
     BadIdempotencyKey = 1008, BAD_REQUEST, "invalid_request_error", "the idempotency key must be 1 to 255 printable characters";
     /// The idempotency key was used before with another body.
     IdempotencyKeyReused = 1009, UNPROCESSABLE_ENTITY, "invalid_request_error", "the idempotency key was used with a different request";
+    /// The request came with no identifier.
+    NoRequestId = 1010, BAD_REQUEST, "invalid_request_error", "the request has no identifier";
     /// The key is missing, unknown or withdrawn.
     BadKey = 2001, UNAUTHORIZED, "authentication_error", "the key is missing, unknown or withdrawn";
     /// The key was withdrawn while the answer was being sent.
@@ -114,6 +116,8 @@
     NoOutcome = 4004, NOT_FOUND, "invalid_request_error", "no outcome is known under this identifier";
     /// The endpoint answered a different request.
     CrossedAnswer = 4005, BAD_GATEWAY, "answer_cut", "the endpoint answered a different request";
+    /// The route's time is over and the answer is not complete.
+    TimedOut = 4006, GATEWAY_TIMEOUT, "timeout", "the request may have run; its time is over";
     /// A promise of the system was found broken inside the program.
     InvariantBroken = 5001, INTERNAL_SERVER_ERROR, "internal_error", "an invariant of the program does not hold";
     /// Settings or configuration are not valid.
--- /dev/null
+++ b/src/direct.rs
@@ -0,0 +1,142 @@
+//! A gateway that reaches its endpoints straight over HTTP.
+//!
+//! It serves the same purpose as [`crate::gateway`] on platforms where an agent
+//! beside each endpoint costs more than it brings. Control state lives in one
+//! reducer on a thread of its own; one thread carries the traffic. What a
+//! platform calls things is behind [`dialect::Dialect`].
+
+pub mod answer;
+pub mod balance;
+pub mod connection;
+pub mod control;
+pub mod dialect;
+pub mod directory;
+pub mod document;
+mod driver;
+pub mod fleet;
+mod forward;
+mod front;
+pub mod health;
+mod job;
+mod quota;
+mod readiness;
+pub mod refusal;
+mod relay;
+pub mod request;
+pub mod resume;
+pub mod retry_budget;
+pub mod settings;
+pub mod shared;
+mod store;
+mod sync;
+pub mod view;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::clock::Millis;
+use crate::error::{Error, Result};
+use crate::http::serve;
+use crate::journal;
+use crate::metrics::Metrics;
+
+use dialect::Dialect;
+use front::Front;
+use readiness::Readiness;
+use settings::Settings;
+use shared::Shared;
+
+/// How long a stopping gateway goes on accepting: the balancer asks each second
+/// and takes a process out after two misses.
+const ANNOUNCE: Millis = Millis(2_500);
+/// Time before the end of the grace period at which a stopping gateway ends.
+const EXIT_MARGIN: Millis = Millis(400);
+/// Time between two looks at whether a stopping gateway is done.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time between two publications of this gateway's load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until it is told to stop and its last request is answered.
+pub fn run(settings: Settings, dialect: Arc<dyn Dialect>, max_descriptors: u32) -> Result<()> {
+    journal::start();
+    journal::write(
+        "process.started",
+        &[
+            ("name", (&settings.name).into()),
+            ("zone", (&settings.zone).into()),
+            ("program", env!("CARGO_PKG_VERSION").into()),
+        ],
+    );
+    let metrics = Arc::new(Metrics::new("rattanstall-gateway")?);
+    let settings = Arc::new(settings);
+    let (events, queue) = mpsc::unbounded_channel();
+    let shared = Arc::new(Shared::new(settings, dialect, metrics, events.clone()));
+    let control = shared.clone();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || driver::run(control, events, queue))
+        .map_err(|e| Error::io("starting the control thread", e))?;
+    let readiness = Readiness::new(shared.clone());
+    let readiness = serve(shared.settings.readiness, 1, Arc::new(readiness))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Error::io("starting the traffic runtime", e))?;
+    LocalSet::new().block_on(&runtime, carry_traffic(shared, max_descriptors))?;
+    readiness.stop();
+    journal::write("process.stopped", &[]);
+    journal::flush();
+    Ok(())
+}
+
+async fn carry_traffic(shared: Arc<Shared>, max_descriptors: u32) -> Result<()> {
+    let address = shared.settings.callers;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|e| Error::io(format!("binding TCP {address}"), e))?;
+    let mut stop =
+        signal(SignalKind::terminate()).map_err(|e| Error::io("listening for SIGTERM", e))?;
+    let front = Front::new(shared.clone(), max_descriptors);
+    spawn_local(publish_load(shared.clone(), front.clone()));
+    let accepting = spawn_local(front.accept(listener));
+    stop.recv().await;
+    drain(&shared).await;
+    accepting.abort();
+    Ok(())
+}
+
+/// Tells control now and then what is in flight.
+async fn publish_load(shared: Arc<Shared>, front: Rc<Front>) {
+    loop {
+        sleep(LOAD_INTERVAL).await;
+        let loads = front.forwarder().fleet.borrow().loads();
+        shared.set_own_loads(loads);
+    }
+}
+
+/// Waits until the balancer has had time to notice and no request is open.
+async fn drain(shared: &Shared) {
+    let since = shared.now();
+    shared.set_draining();
+    shared.tell(control::Event::Drain);
+    journal::write(
+        "process.draining",
+        &[("open", shared.open_requests().into())],
+    );
+    sleep(ANNOUNCE.as_duration()).await;
+    let latest = shared.settings.bounds.grace - EXIT_MARGIN;
+    while shared.open_requests() > 0 && shared.now().since(since) < latest {
+        sleep(DRAIN_POLL).await;
+    }
+    journal::write(
+        "process.drained",
+        &[("open", shared.open_requests().into())],
+    );
+}
--- /dev/null
+++ b/src/direct/balance.rs
@@ -0,0 +1,112 @@
+//! Which endpoint gets a request.
+
+use super::fleet::{EndpointKey, Fleet};
+use super::health::Health;
+use super::request::ModelRef;
+use super::view::{EndpointView, Load, LoadTable, Usability, load_of};
+use crate::clock::Millis;
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model, for requests to engines.
+    pub model: Option<&'a ModelRef>,
+    /// The gateway's availability zone.
+    pub zone: &'a str,
+    /// Endpoints that refused this request.
+    pub excluded: &'a [EndpointKey],
+    /// Hash of the session, which draws its requests to one endpoint.
+    pub affinity: Option<u64>,
+}
+
+/// One endpoint that could serve a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its key.
+    pub key: EndpointKey,
+    /// What control knows of it.
+    pub view: &'a EndpointView,
+    /// Its load from all gateways.
+    pub load: Load,
+    /// The judgement of it.
+    pub health: &'a Health,
+}
+
+/// Work that a request within the zone saves, in requests in flight: crossing
+/// zones costs two milliseconds and the bytes.
+const ZONE_BONUS: f32 = 0.5;
+/// Work that a session saves at the endpoint that read its prompt before.
+const AFFINITY_BONUS: f32 = 3.0;
+/// Prompt tokens that delay a newcomer as much as one running request: one
+/// piece of a prompt is read between two tokens of every request.
+const TOKENS_PER_REQUEST: f32 = 1_000.0;
+/// A failed request costs a retry or the answer; in requests in flight.
+const FAILURE_PENALTY: f32 = 200.0;
+
+/// Endpoints that serve a need, the suspect and the leaving ones last.
+pub fn candidates<'a>(
+    now: Millis,
+    fleet: &'a Fleet,
+    others: &LoadTable,
+    need: &Need<'_>,
+) -> Vec<Candidate<'a>> {
+    let mut found: Vec<Candidate<'a>> = Vec::new();
+    for (key, endpoint) in fleet.iter() {
+        let registration = &endpoint.view.registration;
+        let serves = registration.service == need.service
+            && need.model.is_none_or(|m| endpoint.view.holds(m))
+            && !need.excluded.contains(&key);
+        if !serves {
+            continue;
+        }
+        let mut load = endpoint.load;
+        load.add(load_of(others, &registration.id));
+        found.push(Candidate {
+            key,
+            view: &endpoint.view,
+            load,
+            health: &endpoint.health,
+        });
+    }
+    let tier = |c: &Candidate<'_>| {
+        let is_leaving = c.view.usability == Usability::Leaving;
+        u8::from(is_leaving) * 2 + u8::from(c.health.is_suspect(now))
+    };
+    if let Some(best) = found.iter().map(tier).min() {
+        found.retain(|c| tier(c) == best);
+    }
+    found
+}
+
+/// The candidate that is expected to answer first. A session's preferred
+/// endpoint wins unless another one is less busy by more than it saves.
+pub fn choose<'a, 'c>(
+    need: &Need<'_>,
+    candidates: &'c [Candidate<'a>],
+) -> Option<&'c Candidate<'a>> {
+    let preferred = need.affinity.and_then(|session| {
+        let weigh = |c: &&Candidate<'_>| rendezvous(session, &c.view.registration.id);
+        candidates.iter().max_by_key(weigh).map(|c| c.key)
+    });
+    let cost = |c: &Candidate<'_>| {
+        let mut cost = c.load.requests as f32;
+        cost += c.load.unread_tokens as f32 / TOKENS_PER_REQUEST;
+        cost += c.health.failed_share() * FAILURE_PENALTY;
+        if c.view.registration.zone == need.zone {
+            cost -= ZONE_BONUS;
+        }
+        if preferred == Some(c.key) {
+            cost -= AFFINITY_BONUS;
+        }
+        cost
+    };
+    candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
+}
+
+/// Weight of an endpoint for a session (rendezvous hashing): each session has
+/// its own order of endpoints, and one that leaves moves only its sessions.
+pub fn rendezvous(session: u64, endpoint: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.as_bytes(), session)
+}
--- /dev/null
+++ b/src/direct/front.rs
@@ -0,0 +1,268 @@
+//! Callers' HTTP: from the request line to the answer.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::answer::AnswerBody;
+use super::connection::watch_for_silence;
+use super::document::{Document, Route, Workspace};
+use super::forward::Forwarder;
+use super::job::Job;
+use super::quota::{Charge, charge};
+use super::refusal::Refusal;
+use super::relay::answer;
+use super::request::Ask;
+use super::shared::Shared;
+use crate::clock::Millis;
+use crate::code::Code;
+use crate::journal;
+
+/// When to come back to a gateway that knows no configuration yet: it reads
+/// the first one within a few round trips to the store.
+const NO_CONFIGURATION_RETRY: Millis = Millis(300);
+/// How long a body may take to arrive where the caller's patience is not known.
+const BODY_TIMEOUT: Millis = Millis(10_000);
+/// Pause after the system refused to accept a connection (out of descriptors).
+const ACCEPT_PAUSE: Millis = Millis(20);
+/// Descriptors kept free for endpoints, the store, peers and files.
+const RESERVED_DESCRIPTORS: u32 = 1_000;
+
+/// Answers callers.
+pub struct Front {
+    shared: Arc<Shared>,
+    forwarder: Rc<Forwarder>,
+    max_connections: u32,
+}
+
+impl Front {
+    /// A front with as many callers' connections as descriptors allow.
+    pub fn new(shared: Arc<Shared>, max_descriptors: u32) -> Rc<Self> {
+        let forwarder = Forwarder::new(shared.clone());
+        Rc::new(Self {
+            shared,
+            forwarder,
+            max_connections: max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64),
+        })
+    }
+
+    /// The forwarder behind it.
+    pub fn forwarder(&self) -> &Rc<Forwarder> {
+        &self.forwarder
+    }
+
+    /// Accepts callers until it is dropped.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let open = self.shared.connections().fetch_add(1, Ordering::Relaxed);
+                    if open >= self.max_connections {
+                        self.shared.connections().fetch_sub(1, Ordering::Relaxed);
+                        log::warn!("{open} connections are open, one more is closed");
+                        continue;
+                    }
+                    spawn_local(self.clone().serve_connection(stream));
+                }
+                Err(error) => {
+                    log::warn!("accepting a connection: {error}");
+                    sleep(ACCEPT_PAUSE.as_duration()).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
+        let _counted = CountedConnection(self.shared.clone());
+        if let Err(error) = watch_for_silence(&stream) {
+            log::debug!("setting up a caller's connection: {error}");
+            return;
+        }
+        let view = self.shared.view();
+        let limits = view.document.as_ref().map(|d| d.limits).unwrap_or_default();
+        let service = service_fn(|req| {
+            let front = self.clone();
+            async move { Ok::<_, Infallible>(front.respond(req).await) }
+        });
+        let served = http1::Builder::new()
+            .timer(TokioTimer::new())
+            // The library's timer covers the idle time before a head as well.
+            .header_read_timeout((limits.idle + limits.head).as_duration())
+            .max_buf_size(limits.head_bytes.max(8 << 10) * 2)
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+        if let Err(error) = served {
+            log::debug!("a caller's connection ended: {error}");
+        }
+    }
+
+    async fn respond(self: Rc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+        let _open = self.shared.open_request();
+        let arrived = self.shared.now();
+        let ask = self.shared.dialect.read_ask(req.headers());
+        let id = ask.id.clone();
+        let is_logged = journal::admits_request();
+        let mut res = match self.admit_and_send(req, ask, arrived, is_logged).await {
+            Ok(res) => res,
+            Err(refusal) => {
+                self.log_refusal(&id, &refusal, arrived, is_logged);
+                refusal.into_response()
+            }
+        };
+        if self.shared.is_draining() {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(header::CONNECTION, close);
+        }
+        res
+    }
+
+    fn log_refusal(&self, id: &str, refusal: &Refusal, arrived: Millis, is_logged: bool) {
+        let code = refusal.code.number();
+        self.shared.metrics.count_request("", "", code);
+        if is_logged {
+            journal::count_request_line();
+            journal::write(
+                "request.refused",
+                &[
+                    ("request", id.into()),
+                    ("code", code.into()),
+                    ("reason", refusal.code.text().into()),
+                    ("ran", refusal.ran().as_str().into()),
+                    (
+                        "retry_after_ms",
+                        refusal.retry_after.unwrap_or_default().into(),
+                    ),
+                    ("after_ms", self.shared.now().since(arrived).into()),
+                ],
+            );
+        }
+    }
+
+    async fn admit_and_send(
+        &self,
+        req: Request<Incoming>,
+        ask: Ask,
+        arrived: Millis,
+        is_logged: bool,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let view = self.shared.view();
+        let Some(document) = view.document.clone() else {
+            let stale = Refusal::new(Code::ConfigurationStale);
+            return Err(stale.retry_after(NO_CONFIGURATION_RETRY));
+        };
+        if ask.id.is_empty() {
+            return Err(Refusal::new(Code::NoRequestId));
+        }
+        let route = find_route(&document, &req)?;
+        let workspace = admit(&document, route, &ask)?;
+        let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
+        let service = route.service(draw_of(&ask.id)).cloned();
+        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        let (parts, body) = req.into_parts();
+        let body = read_body(body, document.limits.body_bytes, patience).await?;
+        let job = Job {
+            route: route.name.clone(),
+            kind: route.kind,
+            service: service.ok_or(Refusal::new(Code::NoEndpoint))?,
+            workspace: workspace.map(|w| w.name.clone()),
+            priority,
+            max_endpoints: route.max_endpoints,
+            arrived,
+            target: route.target,
+            due: arrived + patience,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            is_logged,
+            document: document.clone(),
+            ask,
+        };
+        let charged = charge(&self.shared, workspace, &job)?;
+        self.send(job, charged).await
+    }
+
+    async fn send(&self, job: Job, charged: Charge) -> Result<Response<AnswerBody>, Refusal> {
+        job.log(
+            "request.admitted",
+            &[
+                ("route", (&job.route).into()),
+                ("service", (&job.service).into()),
+                ("workspace", job.workspace.as_deref().unwrap_or("").into()),
+                ("version", job.document.version.into()),
+                ("priority", u32::from(job.priority).into()),
+                ("cost", charged.tokens().into()),
+                ("time_ms", job.due.since(job.arrived).into()),
+            ],
+        );
+        if let Some(wanted) = &job.ask.model {
+            let tokens = job.ask.footprint();
+            self.shared.note_demand(&job.service, wanted, tokens);
+        }
+        self.forwarder.note_first(&job);
+        answer(self.forwarder.clone(), job, charged).await
+    }
+}
+
+struct CountedConnection(Arc<Shared>);
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.0.connections().fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn find_route<'a>(document: &'a Document, req: &Request<Incoming>) -> Result<&'a Route, Refusal> {
+    let host = req.headers().get(header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let name = name.to_ascii_lowercase();
+    let route = document.route(&name, req.uri().path());
+    route.ok_or(Refusal::new(Code::NoRoute))
+}
+
+/// The workspace of the caller's key; none on routes open to all and where the
+/// configuration has no workspaces.
+fn admit<'a>(
+    document: &'a Document,
+    route: &Route,
+    ask: &Ask,
+) -> Result<Option<&'a Workspace>, Refusal> {
+    if route.is_open || document.workspaces.is_empty() {
+        return Ok(None);
+    }
+    let key = ask.key.as_ref().ok_or(Refusal::new(Code::BadKey))?;
+    let workspace = document.workspace_of(key);
+    workspace.map(Some).ok_or(Refusal::new(Code::BadKey))
+}
+
+fn draw_of(id: &CompactString) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
+
+async fn read_body(body: Incoming, max_bytes: usize, patience: Millis) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let reading = Limited::new(body, max_bytes).collect();
+    let read = timeout(patience.min(BODY_TIMEOUT).as_duration(), reading).await;
+    let read = read.map_err(|_| Refusal::new(Code::BodyTimeout))?;
+    let read = read.map_err(|error| match error.is::<LengthLimitError>() {
+        true => Refusal::new(Code::BodyTooLarge),
+        false => Refusal::new(Code::BadBody),
+    })?;
+    Ok(read.to_bytes())
+}
--- /dev/null
+++ b/src/direct/quota.rs
@@ -0,0 +1,67 @@
+//! Charging a request to its workspace's limit.
+
+use std::sync::Arc;
+
+use super::document::Workspace;
+use super::job::Job;
+use super::refusal::Refusal;
+use super::shared::Shared;
+use crate::bucket::BucketCell;
+use crate::clock::{Clock, Millis};
+use crate::code::Code;
+
+/// The shortest time to come back after a refusal by the limit: a shorter one
+/// costs more in repeats than it serves.
+const SHORTEST_RETRY: Millis = Millis(100);
+
+/// What was taken from a bucket. A request that certainly did not run gives it
+/// back; one that may have run has used it.
+pub struct Charge {
+    bucket: Option<Arc<BucketCell>>,
+    clock: Clock,
+    tokens: u64,
+}
+
+impl Charge {
+    /// The tokens.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Gives everything back: the request did not run.
+    pub fn refund(self) {
+        if let Some(bucket) = &self.bucket {
+            bucket.with(|b| b.refund(self.clock.now(), self.tokens));
+        }
+    }
+}
+
+/// Charges a request, or tells when there will be room for it.
+pub fn charge(
+    shared: &Shared,
+    workspace: Option<&Workspace>,
+    job: &Job,
+) -> Result<Charge, Refusal> {
+    let mut charge = Charge {
+        bucket: None,
+        clock: shared.clock.clone(),
+        tokens: 0,
+    };
+    let Some(workspace) = workspace else {
+        return Ok(charge);
+    };
+    charge.tokens = match workspace.counts_tokens {
+        true => job.ask.cost(workspace.plain_tokens),
+        false => 1,
+    };
+    let Some(bucket) = shared.bucket(&workspace.name) else {
+        return Ok(charge);
+    };
+    if let Err(wait) = bucket.with(|b| b.charge(shared.now(), charge.tokens)) {
+        let refusal = Refusal::new(Code::RateExceeded);
+        return Err(refusal.retry_after(wait.max(SHORTEST_RETRY)));
+    }
+    shared.metrics.count_tokens(&workspace.name, charge.tokens);
+    charge.bucket = Some(bucket);
+    Ok(charge)
+}
--- /dev/null
+++ b/src/direct/readiness.rs
@@ -0,0 +1,40 @@
+//! What the balancer asks: whether to send callers here.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use serde_json::json;
+
+use super::shared::Shared;
+use crate::http::{Request, Respond, Response, json as json_response};
+
+/// Answers the balancer, whatever path it asks for.
+pub struct Readiness {
+    shared: Arc<Shared>,
+}
+
+impl Readiness {
+    /// The readiness of a process.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl Respond for Readiness {
+    async fn respond(self: Arc<Self>, _req: Request) -> Response {
+        let view = self.shared.view();
+        let has_configuration = view.document.is_some();
+        let has_endpoints = !view.endpoints.is_empty();
+        let is_draining = self.shared.is_draining();
+        let status = match has_configuration && has_endpoints && !is_draining {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let body = json!({
+            "draining": is_draining,
+            "configured": has_configuration,
+            "endpoints": view.endpoints.len(),
+        });
+        json_response(status, &body)
+    }
+}
--- /dev/null
+++ b/src/direct/resume.rs
@@ -0,0 +1,77 @@
+//! Following a stream of events so that another endpoint can go on with it.
+
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+
+/// The most bytes that may wait for the end of their event.
+const MAX_PENDING_BYTES: usize = 64 << 10;
+
+/// Passes on whole events and remembers the identifier of the last one.
+///
+/// What has arrived of an event that is not complete is held back: if the
+/// stream breaks off there, the next endpoint sends that event again.
+#[derive(Debug, Default)]
+pub struct EventTracker {
+    pending: BytesMut,
+    last_event: Option<CompactString>,
+}
+
+/// An event is longer than any event of an engine.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event has more than {MAX_PENDING_BYTES} bytes")]
+pub struct EventTooLarge;
+
+impl EventTracker {
+    /// A tracker of a stream that goes on after an event.
+    pub fn after(last_event: Option<CompactString>) -> Self {
+        Self {
+            pending: BytesMut::new(),
+            last_event,
+        }
+    }
+
+    /// The identifier of the last event that was passed on.
+    pub fn last_event(&self) -> Option<&CompactString> {
+        self.last_event.as_ref()
+    }
+
+    /// Whether a part of an event waits for its rest.
+    pub fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Takes in a part of the stream and returns the events that are complete.
+    pub fn push(&mut self, part: &[u8]) -> Result<Bytes, EventTooLarge> {
+        self.pending.extend_from_slice(part);
+        let Some(end) = last_event_end(&self.pending) else {
+            if self.pending.len() > MAX_PENDING_BYTES {
+                return Err(EventTooLarge);
+            }
+            return Ok(Bytes::new());
+        };
+        let events = self.pending.split_to(end).freeze();
+        if let Some(id) = last_id(&events) {
+            self.last_event = Some(id);
+        }
+        Ok(events)
+    }
+
+    /// Forgets the part of an event whose endpoint is gone.
+    pub fn drop_pending(&mut self) {
+        self.pending.clear();
+    }
+}
+
+/// Where the last complete event ends: after the last empty line.
+fn last_event_end(buf: &[u8]) -> Option<usize> {
+    let lf = buf.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
+    let crlf = buf.windows(4).rposition(|w| w == b"\r\n\r\n");
+    lf.max(crlf.map(|at| at + 4))
+}
+
+fn last_id(events: &[u8]) -> Option<CompactString> {
+    let mut lines = events.split(|b| *b == b'\n').rev();
+    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let id = std::str::from_utf8(line.trim_ascii()).ok()?;
+    Some(id.into())
+}
--- /dev/null
+++ b/src/direct/retry_budget.rs
@@ -0,0 +1,73 @@
+//! How many requests may be sent a second time.
+//!
+//! Repeats multiply the load exactly when endpoints fail, so that all gateways
+//! together keep within a share of the requests of a window, plus a slack. Each
+//! gateway keeps to its own requests and an equal part of the slack.
+
+use std::collections::VecDeque;
+
+use crate::clock::Millis;
+
+/// The operator's bound on repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimit {
+    /// Repeats for each first request, at most.
+    pub ratio: f64,
+    /// Repeats on top, over all gateways.
+    pub slack: f64,
+    /// The span over which both are counted.
+    pub window: Millis,
+}
+
+/// Part of the allowance that is used: gateways are not told of each other's
+/// requests, and a repeat counts when it arrives, not when it was allowed.
+const USED_PART: f64 = 0.7;
+
+/// One gateway's count for one service.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    limit: RetryLimit,
+    firsts: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
+}
+
+impl RetryBudget {
+    /// An empty count.
+    pub fn new(limit: RetryLimit) -> Self {
+        Self {
+            limit,
+            firsts: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
+    }
+
+    /// Notes a request that is sent for the first time.
+    pub fn note_first(&mut self, now: Millis) {
+        self.forget_old(now);
+        self.firsts.push_back(now);
+    }
+
+    /// Takes one repeat, if one is left for a fleet of so many gateways.
+    pub fn take(&mut self, now: Millis, gateways: usize) -> bool {
+        self.forget_old(now);
+        let by_ratio = self.firsts.len() as f64 * self.limit.ratio;
+        let by_slack = self.limit.slack / gateways.max(1) as f64;
+        let allowed = (by_ratio + by_slack) * USED_PART;
+        if self.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn forget_old(&mut self, now: Millis) {
+        for times in [&mut self.firsts, &mut self.repeats] {
+            while times
+                .front()
+                .is_some_and(|at| now.since(*at) > self.limit.window)
+            {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of a gateway that reaches its endpoints straight.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+
+use super::retry_budget::RetryLimit;
+use crate::clock::Millis;
+
+/// What a process is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: CompactString,
+    /// The instance's availability zone.
+    pub zone: CompactString,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the process is ready.
+    pub readiness: SocketAddr,
+    /// Where the other gateways connect (UDP and TCP), and where the state
+    /// dump and metrics are served.
+    pub inner: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The operator's bounds.
+    pub bounds: Bounds,
+}
+
+/// What the operator binds the system to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// How long a lease of a duty lasts, and how long after another holder's
+    /// last order the next one may order.
+    pub lease: Millis,
+    /// How long after a drain was announced an endpoint may still get work.
+    pub drain: Millis,
+    /// How long a process may take to stop.
+    pub grace: Millis,
+    /// How long a store that comes back takes to list all endpoints again.
+    pub relist: Millis,
+    /// The bound on repeated requests.
+    pub retries: RetryLimit,
+    /// The span over which a workspace's limit is judged.
+    pub quota_window: Millis,
+    /// Loads from the weight store are judged over this span.
+    pub load_window: Millis,
+}
--- /dev/null
+++ b/src/direct/shared.rs
@@ -0,0 +1,226 @@
+//! State that the control thread and the traffic thread share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use compact_str::CompactString;
+use tokio::sync::{mpsc, watch};
+
+use super::control::Event;
+use super::dialect::Dialect;
+use super::request::ModelRef;
+use super::settings::Settings;
+use super::view::{LoadTable, View};
+use crate::bucket::BucketCell;
+use crate::clock::{Clock, Millis};
+use crate::metrics::Metrics;
+
+/// Demand for one model since the last reading.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelDemand {
+    /// The service.
+    pub service: CompactString,
+    /// The model.
+    pub model: CompactString,
+    /// Requests that arrived.
+    pub requests: u32,
+    /// Tokens to read and to generate of these requests.
+    pub tokens: u64,
+}
+
+/// What both threads know.
+pub struct Shared {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The process's settings.
+    pub settings: Arc<Settings>,
+    /// The platform's names.
+    pub dialect: Arc<dyn Dialect>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    view: ArcSwap<View>,
+    changed: watch::Sender<u64>,
+    buckets: ArcSwap<Vec<Arc<BucketCell>>>,
+    others: ArcSwap<LoadTable>,
+    own_loads: Mutex<LoadTable>,
+    demand: Mutex<Vec<ModelDemand>>,
+    events: mpsc::UnboundedSender<Event>,
+    draining: AtomicBool,
+    open_requests: AtomicU64,
+    gateways: AtomicUsize,
+    connections: AtomicU32,
+}
+
+impl Shared {
+    /// The state of a process that has just started.
+    pub fn new(
+        settings: Arc<Settings>,
+        dialect: Arc<dyn Dialect>,
+        metrics: Arc<Metrics>,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        Self {
+            clock: Clock::system(),
+            settings,
+            dialect,
+            metrics,
+            view: ArcSwap::default(),
+            changed: watch::Sender::new(0),
+            buckets: ArcSwap::default(),
+            others: ArcSwap::default(),
+            own_loads: Mutex::default(),
+            demand: Mutex::default(),
+            events,
+            draining: AtomicBool::new(false),
+            open_requests: AtomicU64::new(0),
+            gateways: AtomicUsize::new(1),
+            connections: AtomicU32::new(0),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// What control published last.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Publishes a view and wakes those who wait for a change.
+    pub fn publish(&self, view: View) {
+        let generation = view.generation;
+        self.view.store(Arc::new(view));
+        self.changed.send_replace(generation);
+    }
+
+    /// Tells when the view changes.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The bucket of a workspace; `None` if it has no limit.
+    pub fn bucket(&self, workspace: &str) -> Option<Arc<BucketCell>> {
+        let buckets = self.buckets.load();
+        let at = buckets.binary_search_by(|b| b.workspace.as_str().cmp(workspace));
+        at.ok().map(|at| buckets[at].clone())
+    }
+
+    /// All buckets.
+    pub fn buckets(&self) -> Arc<Vec<Arc<BucketCell>>> {
+        self.buckets.load_full()
+    }
+
+    /// Replaces the buckets, in ascending order of workspace.
+    pub fn set_buckets(&self, buckets: Vec<Arc<BucketCell>>) {
+        self.buckets.store(Arc::new(buckets));
+    }
+
+    /// What the other gateways have in flight.
+    pub fn others(&self) -> Arc<LoadTable> {
+        self.others.load_full()
+    }
+
+    /// Replaces what the other gateways have in flight.
+    pub fn set_others(&self, loads: LoadTable) {
+        self.others.store(Arc::new(loads));
+    }
+
+    /// What this gateway has in flight.
+    pub fn own_loads(&self) -> LoadTable {
+        lock(&self.own_loads).clone()
+    }
+
+    /// Notes what this gateway has in flight.
+    pub fn set_own_loads(&self, loads: LoadTable) {
+        *lock(&self.own_loads) = loads;
+    }
+
+    /// Counts a request for a model.
+    pub fn note_demand(&self, service: &str, wanted: &ModelRef, tokens: u64) {
+        let mut demand = lock(&self.demand);
+        let known = demand
+            .iter_mut()
+            .find(|d| d.model == wanted.model && d.service == service);
+        match known {
+            Some(known) => {
+                known.requests += 1;
+                known.tokens += tokens;
+            }
+            None => demand.push(ModelDemand {
+                service: service.into(),
+                model: wanted.model.clone(),
+                requests: 1,
+                tokens,
+            }),
+        }
+    }
+
+    /// Reads and resets the demand.
+    pub fn take_demand(&self) -> Vec<ModelDemand> {
+        std::mem::take(&mut *lock(&self.demand))
+    }
+
+    /// Tells control that something happened.
+    pub fn tell(&self, event: Event) {
+        // Fails only while the process ends, when nobody decides any more.
+        let _ = self.events.send(event);
+    }
+
+    /// Whether the process is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Notes that the process is stopping.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Requests without an end of their answers.
+    pub fn open_requests(&self) -> u64 {
+        self.open_requests.load(Ordering::Acquire)
+    }
+
+    /// Counts an open request until the guard is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::AcqRel);
+        OpenRequest(self.clone())
+    }
+
+    /// Gateways that are alive, this one included.
+    pub fn gateways(&self) -> usize {
+        self.gateways.load(Ordering::Relaxed)
+    }
+
+    /// Notes how many gateways are alive.
+    pub fn set_gateways(&self, gateways: usize) {
+        self.gateways.store(gateways.max(1), Ordering::Relaxed);
+    }
+
+    /// The counter of callers' connections.
+    pub fn connections(&self) -> &AtomicU32 {
+        &self.connections
+    }
+}
+
+/// Counts a request as open.
+pub struct OpenRequest(Arc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Locks state that every holder leaves whole, so that a panic elsewhere does
+/// not spread.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    match mutex.lock() {
+        Ok(guard) => guard,
+        Err(poisoned) => poisoned.into_inner(),
+    }
+}
--- /dev/null
+++ b/src/direct/store.rs
@@ -0,0 +1,114 @@
+//! The client of the platform's store.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::StatusCode;
+
+use super::connection::{CallClient, ExchangeError, call};
+use super::dialect::{Call, Commit, Dialect, Item, Lease, Page, StoreError};
+use crate::clock::Millis;
+
+/// How long a call may take. The store answers in milliseconds; a slow one that
+/// takes longer is treated like one that is away.
+const CALL_TIMEOUT: Millis = Millis(1_200);
+/// How much longer than asked for a watch may take to answer.
+const WATCH_SLACK: Millis = Millis(1_500);
+/// Pages that one range read may have: the store's page holds 500 items, the
+/// target fleet has 12,000 endpoints.
+const MAX_PAGES: usize = 64;
+
+/// A client of the store; it never repeats a call by itself.
+pub struct Store {
+    dialect: Arc<dyn Dialect>,
+    calls: RefCell<CallClient>,
+    watches: RefCell<CallClient>,
+}
+
+impl Store {
+    /// A client of the store at an address.
+    pub fn new(address: SocketAddr, dialect: Arc<dyn Dialect>) -> Self {
+        Self {
+            dialect,
+            calls: RefCell::new(CallClient::new(address)),
+            watches: RefCell::new(CallClient::new(address)),
+        }
+    }
+
+    /// The names in use.
+    pub fn dialect(&self) -> &dyn Dialect {
+        &*self.dialect
+    }
+
+    /// Reads one key.
+    pub async fn read_key(&self, key: &str) -> Result<Item, StoreError> {
+        let (status, body) = self.call(self.dialect.read_key(key)).await?;
+        self.dialect.decode_item(status, &body)
+    }
+
+    /// Reads all keys under a prefix. The pages are no snapshot; the revision
+    /// is that of the first page, so that a watch from there misses nothing.
+    pub async fn read_range(&self, prefix: &str) -> Result<Page, StoreError> {
+        let mut all = Page::default();
+        let mut after: Option<CompactString> = None;
+        for at in 0..MAX_PAGES {
+            let (status, body) = self
+                .call(self.dialect.read_range(prefix, after.as_deref()))
+                .await?;
+            let page = self.dialect.decode_page(status, &body)?;
+            if at == 0 {
+                all.revision = page.revision;
+            }
+            after = page.items.last().map(|item| item.key.clone());
+            all.items.extend(page.items);
+            if !page.has_more || after.is_none() {
+                return Ok(all);
+            }
+        }
+        Err(StoreError::Malformed("too many pages".into()))
+    }
+
+    /// Waits for changes under a prefix.
+    pub async fn watch(&self, prefix: &str, after: u64, wait: Millis) -> Result<Page, StoreError> {
+        let asked = self.dialect.watch(prefix, after, wait);
+        let done = call(&self.watches, asked, wait + WATCH_SLACK).await;
+        let (status, body) = done.map_err(unanswered)?;
+        self.dialect.decode_events(status, &body)
+    }
+
+    /// Changes keys under a condition; returns the revision of the change.
+    pub async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+        let (status, body) = self.call(self.dialect.commit(commit)).await?;
+        self.dialect.decode_commit(status, &body)
+    }
+
+    /// Opens a lease.
+    pub async fn open_lease(&self, ttl: Millis) -> Result<Lease, StoreError> {
+        let (status, body) = self.call(self.dialect.open_lease(ttl)).await?;
+        self.dialect.decode_lease(status, &body)
+    }
+
+    /// Renews a lease.
+    pub async fn renew_lease(&self, id: u64) -> Result<(), StoreError> {
+        let (status, _) = self.call(self.dialect.renew_lease(id)).await?;
+        self.dialect.decode_renewal(status)
+    }
+
+    /// Ends a lease and removes its keys.
+    pub async fn end_lease(&self, id: u64) -> Result<(), StoreError> {
+        let (status, _) = self.call(self.dialect.end_lease(id)).await?;
+        self.dialect.decode_renewal(status)
+    }
+
+    async fn call(&self, asked: Call) -> Result<(StatusCode, Bytes), StoreError> {
+        let done = call(&self.calls, asked, CALL_TIMEOUT).await;
+        done.map_err(unanswered)
+    }
+}
+
+fn unanswered(error: ExchangeError) -> StoreError {
+    StoreError::Unanswered(format_compact!("{error}"))
+}
--- /dev/null
+++ b/src/direct/sync.rs
@@ -0,0 +1,178 @@
+//! Following the platform's store: configuration and registrations.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::sleep;
+
+use super::control::Event;
+use super::dialect::{Item, Page, StoreError};
+use super::store::Store;
+use crate::clock::Millis;
+use crate::journal;
+
+/// How long one watch waits. Each waiting watch counts as one call; a silent
+/// connection is noticed by its keep-alive before that.
+const WATCH_WAIT: Millis = Millis(10_000);
+/// Pause after a failed reading, and its longest: readings of all gateways
+/// after an outage stay below the store's rate.
+const FIRST_PAUSE: Millis = Millis(50);
+const LONGEST_PAUSE: Millis = Millis(400);
+
+/// What is done with what is read.
+pub trait Follower {
+    /// The prefix that is followed.
+    fn prefix(&self, store: &Store) -> CompactString;
+    /// Takes in a whole reading.
+    fn read(&self, store: &Store, page: Page) -> Vec<Event>;
+    /// Takes in one change.
+    fn changed(&self, store: &Store, item: Item) -> Option<Event>;
+}
+
+/// Follows the operator's configuration.
+pub struct ConfigurationFollower;
+
+impl ConfigurationFollower {
+    fn decode(store: &Store, item: &Item) -> Option<Event> {
+        let value = item.value.as_ref()?;
+        match store.dialect().decode_configuration(value) {
+            Ok(mut document) => {
+                document.raw = value.clone();
+                Some(Event::Configuration(Arc::new(document)))
+            }
+            Err(error) => {
+                log_skipped(&item.key, &error);
+                None
+            }
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    fn prefix(&self, store: &Store) -> CompactString {
+        store.dialect().configuration_key().into()
+    }
+
+    fn read(&self, store: &Store, page: Page) -> Vec<Event> {
+        let items = page.items.iter();
+        items.filter_map(|item| Self::decode(store, item)).collect()
+    }
+
+    fn changed(&self, store: &Store, item: Item) -> Option<Event> {
+        Self::decode(store, &item)
+    }
+}
+
+/// Follows the endpoints' registrations.
+pub struct RegistrationFollower;
+
+impl Follower for RegistrationFollower {
+    fn prefix(&self, store: &Store) -> CompactString {
+        store.dialect().registrations_prefix().into()
+    }
+
+    fn read(&self, store: &Store, page: Page) -> Vec<Event> {
+        let mut all = Vec::new();
+        for item in &page.items {
+            match store.dialect().decode_registration(item) {
+                Ok(registration) => all.push(registration),
+                Err(error) => log_skipped(&item.key, &error),
+            }
+        }
+        vec![Event::Registrations(all)]
+    }
+
+    fn changed(&self, store: &Store, item: Item) -> Option<Event> {
+        let id = item
+            .key
+            .strip_prefix(store.dialect().registrations_prefix());
+        let id = CompactString::from(id.unwrap_or(&item.key));
+        if item.value.is_none() {
+            return Some(Event::Deregistered(id));
+        }
+        match store.dialect().decode_registration(&item) {
+            Ok(registration) => Some(Event::Registered(registration)),
+            // An entry that cannot be used names no endpoint.
+            Err(error) => {
+                log_skipped(&item.key, &error);
+                Some(Event::Deregistered(id))
+            }
+        }
+    }
+}
+
+fn log_skipped(key: &str, error: &str) {
+    journal::write(
+        "store.entry_skipped",
+        &[("key", key.into()), ("why", error.into())],
+    );
+}
+
+/// Follows a prefix for as long as the process runs: a reading, then watches
+/// from its revision; a new reading whenever a watch cannot go on.
+pub async fn follow<F: Follower>(store: Rc<Store>, events: UnboundedSender<Event>, follower: F) {
+    let prefix = follower.prefix(&store);
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let page = match store.read_range(&prefix).await {
+            Ok(page) => page,
+            Err(error) => {
+                log_failure(&prefix, "read", &error);
+                send(&events, Event::StoreLost);
+                sleep(pause.as_duration()).await;
+                pause = Millis((pause.0 * 2).min(LONGEST_PAUSE.0));
+                continue;
+            }
+        };
+        pause = FIRST_PAUSE;
+        send(&events, Event::StoreHeard);
+        let revision = page.revision;
+        for event in follower.read(&store, page) {
+            send(&events, event);
+        }
+        watch(&store, &events, &follower, &prefix, revision).await;
+    }
+}
+
+async fn watch<F: Follower>(
+    store: &Store,
+    events: &UnboundedSender<Event>,
+    follower: &F,
+    prefix: &str,
+    mut revision: u64,
+) {
+    loop {
+        match store.watch(prefix, revision, WATCH_WAIT).await {
+            Ok(page) => {
+                revision = page.revision.max(revision);
+                for item in page.items {
+                    if let Some(event) = follower.changed(store, item) {
+                        send(events, event);
+                    }
+                }
+            }
+            Err(error) => {
+                log_failure(prefix, "watch", &error);
+                return;
+            }
+        }
+    }
+}
+
+fn log_failure(prefix: &str, what: &str, error: &StoreError) {
+    journal::write(
+        "store.call_failed",
+        &[
+            ("call", what.into()),
+            ("prefix", prefix.into()),
+            ("error", (&error.to_string()).into()),
+        ],
+    );
+}
+
+fn send(events: &UnboundedSender<Event>, event: Event) {
+    // Fails only while the process ends, when nobody decides any more.
+    let _ = events.send(event);
+}
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,177 @@
+//! Structured log lines on standard output.
+//!
+//! A line is a JSON object. Lines are collected in a bounded buffer that one
+//! thread writes out, so a reader that stops reading never holds up a request.
+//! What does not fit is dropped, counted, and the count is logged.
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::clock::unix_now;
+
+/// Bytes that may wait to be written: about two seconds of the line bound.
+const BUFFER_BYTES: usize = 256 << 10;
+/// Time between two writes; lines of a killed process from this time are lost.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
+/// Lines a second of requests that are logged. Beyond it whole requests are
+/// left out: a line costs about as much as two forwarded events.
+const REQUEST_LINES_PER_S: u64 = 400;
+
+/// A value of a field.
+#[derive(Clone, Copy, Debug)]
+pub enum Value<'a> {
+    /// Text.
+    Text(&'a str),
+    /// A number.
+    Number(u64),
+    /// A number with a fraction.
+    Fraction(f64),
+    /// True or false.
+    Flag(bool),
+}
+
+impl<'a> From<&'a str> for Value<'a> {
+    fn from(text: &'a str) -> Self {
+        Self::Text(text)
+    }
+}
+
+impl<'a> From<&'a compact_str::CompactString> for Value<'a> {
+    fn from(text: &'a compact_str::CompactString) -> Self {
+        Self::Text(text)
+    }
+}
+
+impl<'a> From<&'a String> for Value<'a> {
+    fn from(text: &'a String) -> Self {
+        Self::Text(text)
+    }
+}
+
+impl From<u64> for Value<'_> {
+    fn from(number: u64) -> Self {
+        Self::Number(number)
+    }
+}
+
+impl From<u32> for Value<'_> {
+    fn from(number: u32) -> Self {
+        Self::Number(number.into())
+    }
+}
+
+impl From<u16> for Value<'_> {
+    fn from(number: u16) -> Self {
+        Self::Number(number.into())
+    }
+}
+
+impl From<usize> for Value<'_> {
+    fn from(number: usize) -> Self {
+        Self::Number(number as u64)
+    }
+}
+
+impl From<crate::clock::Millis> for Value<'_> {
+    fn from(span: crate::clock::Millis) -> Self {
+        Self::Number(span.0)
+    }
+}
+
+impl From<f64> for Value<'_> {
+    fn from(number: f64) -> Self {
+        Self::Fraction(number)
+    }
+}
+
+impl From<bool> for Value<'_> {
+    fn from(flag: bool) -> Self {
+        Self::Flag(flag)
+    }
+}
+
+static BUFFER: Mutex<Vec<u8>> = Mutex::new(Vec::new());
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+static SECOND: AtomicU64 = AtomicU64::new(0);
+static LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Starts the thread that writes the lines out.
+pub fn start() {
+    std::thread::spawn(|| {
+        loop {
+            std::thread::sleep(FLUSH_INTERVAL);
+            flush();
+        }
+    });
+}
+
+/// Writes out what was collected.
+pub fn flush() {
+    let dropped = DROPPED.swap(0, Ordering::Relaxed);
+    if dropped > 0 {
+        write("log.dropped", &[("lines", dropped.into())]);
+    }
+    let lines = match BUFFER.lock() {
+        Ok(mut buf) => std::mem::take(&mut *buf),
+        Err(poisoned) => std::mem::take(&mut *poisoned.into_inner()),
+    };
+    if lines.is_empty() {
+        return;
+    }
+    // A closed standard output leaves nowhere to report that it is closed.
+    let _ = std::io::stdout().write_all(&lines);
+    let _ = std::io::stdout().flush();
+}
+
+/// Writes one line: the event's name and its fields.
+pub fn write(event: &str, fields: &[(&str, Value<'_>)]) {
+    let mut line = String::with_capacity(128);
+    let _ = write!(line, "{{\"t\":{},\"event\":\"{event}\"", unix_now().0);
+    for (name, value) in fields {
+        let _ = write!(line, ",\"{name}\":");
+        let _ = match value {
+            Value::Text(text) => write_text(&mut line, text),
+            Value::Number(number) => write!(line, "{number}"),
+            Value::Fraction(number) => write!(line, "{number:.3}"),
+            Value::Flag(flag) => write!(line, "{flag}"),
+        };
+    }
+    line.push_str("}\n");
+    let mut buf = match BUFFER.lock() {
+        Ok(buf) => buf,
+        Err(poisoned) => poisoned.into_inner(),
+    };
+    if buf.len() + line.len() > BUFFER_BYTES {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    buf.extend_from_slice(line.as_bytes());
+}
+
+fn write_text(line: &mut String, text: &str) -> std::fmt::Result {
+    let quoted = serde_json::to_string(text).map_err(|_| std::fmt::Error)?;
+    line.push_str(&quoted);
+    Ok(())
+}
+
+/// Whether the lines of a request that begins now are written. The decision
+/// holds for the whole request.
+pub fn admits_request() -> bool {
+    let second = unix_now().as_secs_ceil();
+    if SECOND.swap(second, Ordering::Relaxed) != second {
+        let left_out = LINES.swap(0, Ordering::Relaxed);
+        if left_out > REQUEST_LINES_PER_S {
+            let lines = left_out - REQUEST_LINES_PER_S;
+            write("log.sampled", &[("lines_over_bound", lines.into())]);
+        }
+    }
+    LINES.load(Ordering::Relaxed) < REQUEST_LINES_PER_S
+}
+
+/// Counts a line of a request against the bound of the second.
+pub fn count_request_line() {
+    LINES.fetch_add(1, Ordering::Relaxed);
+}
