--- a/src/direct.rs
+++ b/src/direct.rs
@@ -13,12 +13,20 @@
 pub mod directory;
 pub mod document;
 mod driver;
+mod duties;
 pub mod fleet;
 mod forward;
 mod front;
+pub mod gossip;
 pub mod health;
+mod inner;
 mod job;
+pub mod leader;
+pub mod ledger;
+pub mod members;
+pub mod placement;
 mod quota;
+pub mod rates;
 mod readiness;
 pub mod refusal;
 mod relay;
@@ -27,6 +35,7 @@
 pub mod retry_budget;
 pub mod settings;
 pub mod shared;
+pub mod shares;
 mod store;
 mod sync;
 pub mod view;
@@ -49,6 +58,7 @@
 
 use dialect::Dialect;
 use front::Front;
+use inner::Inner;
 use readiness::Readiness;
 use settings::Settings;
 use shared::Shared;
@@ -85,11 +95,17 @@
         .map_err(|e| Error::io("starting the control thread", e))?;
     let readiness = Readiness::new(shared.clone());
     let readiness = serve(shared.settings.readiness, 1, Arc::new(readiness))?;
+    let inner = serve(
+        shared.settings.inner,
+        1,
+        Arc::new(Inner::new(shared.clone())),
+    )?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
     LocalSet::new().block_on(&runtime, carry_traffic(shared, max_descriptors))?;
+    inner.stop();
     readiness.stop();
     journal::write("process.stopped", &[]);
     journal::flush();
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -129,7 +129,7 @@
 }
 
 /// Idle connections that a [`CallClient`] keeps.
-const MAX_IDLE: usize = 2;
+const MAX_IDLE: usize = 4;
 
 impl CallClient {
     /// A client of one address.
--- /dev/null
+++ b/src/direct/control/event.rs
@@ -0,0 +1,147 @@
+//! What control takes in and what it asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+
+use crate::clock::Millis;
+use crate::direct::dialect::{ModelOrder, OrderOutcome, Registration, Report};
+use crate::direct::directory::Holdings;
+use crate::direct::document::Document;
+use crate::direct::gossip::{Datagram, Message};
+use crate::direct::ledger::Step;
+use crate::direct::members::Member;
+use crate::direct::request::ModelRef;
+use crate::direct::shared::ModelDemand;
+use crate::direct::view::LoadTable;
+
+/// Who leads, by the leader's key in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaderRecord {
+    /// The gateway; empty after it resigned.
+    pub holder: CompactString,
+    /// The revision of the key: the fencing number.
+    pub revision: u64,
+}
+
+/// What callers asked of this gateway since the last reading.
+#[derive(Clone, Debug, Default)]
+pub struct LocalUse {
+    /// Tokens asked of each workspace's limit, by ascending workspace.
+    pub asked: Vec<(CompactString, u64)>,
+    /// Demand by model.
+    pub demand: Vec<ModelDemand>,
+}
+
+/// Something that control has to know.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; what this gateway has in flight.
+    Tick(LoadTable),
+    /// What callers asked for lately.
+    Use(LocalUse),
+    /// A configuration was read.
+    Configuration(Arc<Document>),
+    /// All registrations were read.
+    Registrations(Vec<Registration>),
+    /// A registration was written.
+    Registered(Registration),
+    /// A registration was removed.
+    Deregistered(CompactString),
+    /// The store does not answer.
+    StoreLost,
+    /// The store answers.
+    StoreHeard,
+    /// All gateways' registrations were read.
+    Members(Vec<Member>),
+    /// A gateway registered.
+    MemberPut(Member),
+    /// A gateway's registration is gone.
+    MemberRemoved(CompactString),
+    /// The leader's key was read or changed.
+    LeaderKey(Option<LeaderRecord>),
+    /// This gateway's lease runs until then.
+    LeaseHeld(Millis),
+    /// This gateway's lease has ended.
+    LeaseLost,
+    /// This gateway holds the leader's key.
+    Claimed {
+        /// The fencing number.
+        fence: u64,
+        /// Whether another gateway held it before.
+        is_succession: bool,
+    },
+    /// The leader's key went to another gateway, or the outcome is not known.
+    ClaimFailed,
+    /// Another gateway says something.
+    Datagram(Datagram),
+    /// A request waits for a model that no endpoint holds.
+    Wanted {
+        /// The service.
+        service: CompactString,
+        /// The model.
+        wanted: ModelRef,
+    },
+    /// An endpoint does not hold what it was believed to hold, or is another one.
+    Misdirected {
+        /// The endpoint.
+        endpoint: Option<CompactString>,
+        /// The model.
+        wanted: ModelRef,
+    },
+    /// An engine answered an order, or did not.
+    OrderAnswered {
+        /// The engine.
+        endpoint: CompactString,
+        /// The order.
+        order: ModelOrder,
+        /// The answer; `None` if there was none.
+        outcome: Option<OrderOutcome>,
+    },
+    /// An engine reported.
+    Reported {
+        /// The engine.
+        endpoint: CompactString,
+        /// The report.
+        report: Report,
+    },
+    /// What an order brought is there by now.
+    Ready(Holdings),
+    /// The process is told to stop.
+    Drain,
+}
+
+/// Something that is to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Publish the view.
+    Publish,
+    /// Use the limits of the configuration.
+    SetLimits(Arc<Document>),
+    /// Use these parts of the limits, in parts per million.
+    SetParts(Vec<(CompactString, u64)>),
+    /// Note how many gateways there are.
+    SetGateways(usize),
+    /// Note what the other gateways have in flight.
+    SetOthers(LoadTable),
+    /// Tell all other gateways.
+    Broadcast(Message),
+    /// Tell one gateway.
+    Send(SocketAddr, Message),
+    /// Fetch the configuration of a gateway.
+    PullConfiguration(SocketAddr),
+    /// Try to take the leader's key.
+    Claim {
+        /// The revision that the key must have.
+        expected: u64,
+        /// Whether another gateway held it before.
+        is_succession: bool,
+    },
+    /// Leave the leader's key to others.
+    Resign,
+    /// Send an order or read a report, if the mandate still holds then.
+    Step(Step),
+    /// Tell all gateways what an engine holds once the adapter is there.
+    AnnounceSoon(Holdings),
+}
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -118,10 +118,10 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: EndpointState,
-    /// The number of orders that it has accepted since its start.
-    pub orders: u64,
-    /// What it holds; `None` for services without models.
+    /// What it holds, mostly without adapters; `None` for services without models.
     pub models: Option<Vec<Resident>>,
+    /// Models that it loads from its own memory or disk.
+    pub at_hand: Vec<CompactString>,
 }
 
 /// An engine's own report.
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use super::dialect::{EndpointState, Registration, Resident};
 use super::view::{EndpointView, Usability};
@@ -12,24 +13,27 @@
 /// no other endpoint can do: half of the time for which such endpoints serve on.
 const LAPSE_GRACE_DIVISOR: u64 = 2;
 
-/// What an endpoint holds, by a source that is newer than its registration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// What an engine holds, as the leader knows from its orders and reports.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holdings {
-    /// The endpoint.
+    /// The engine.
     pub endpoint: CompactString,
     /// Its start.
     pub born: u64,
-    /// The number of orders that it had accepted.
-    pub orders: u64,
-    /// What it holds.
+    /// The leader's fencing number and the number of its announcement: a later
+    /// announcement replaces an earlier one.
+    pub stamp: (u64, u64),
+    /// Models and adapters that it holds.
     pub residents: Vec<Resident>,
+    /// Models that no request may use any more, whatever the engine registered.
+    pub hidden: Vec<CompactString>,
 }
 
 #[derive(Clone, Debug)]
 struct Entry {
     registration: Arc<Registration>,
+    announced: Option<Holdings>,
     holdings: Arc<Vec<Resident>>,
-    orders: u64,
     /// Since when it is leaving or its registration is gone.
     leaving_since: Option<Millis>,
     /// Whether the registration is gone.
@@ -122,7 +126,7 @@
         let is_leaving = registration.state == EndpointState::Draining;
         let fresh = |registration: Registration| Entry {
             holdings: Arc::new(registration.models.clone().unwrap_or_default()),
-            orders: registration.orders,
+            announced: None,
             leaving_since: is_leaving.then_some(now),
             is_lapsed: false,
             registration: Arc::new(registration),
@@ -145,11 +149,8 @@
             true => entry.leaving_since.or(Some(now)),
             false => None,
         };
-        if registration.orders >= entry.orders {
-            entry.orders = registration.orders;
-            merge_holdings(entry, &registration);
-        }
         entry.registration = Arc::new(registration);
+        entry.merge_holdings();
         match (was_leaving, is_leaving) {
             (false, true) => Some(Change::Leaving(id)),
             (true, false) => Some(Change::Returned(id)),
@@ -169,22 +170,24 @@
         Some(Change::Lapsed(entry.registration.id.clone()))
     }
 
-    /// Takes in what an endpoint holds by a report or an order.
+    /// Takes in what the leader says that an engine holds; returns whether that
+    /// changes what requests may use.
     pub fn set_holdings(&mut self, holdings: Holdings) -> bool {
         let Ok(at) = self.find(&holdings.endpoint) else {
             return false;
         };
         let entry = &mut self.entries[at];
-        let is_older = holdings.orders < entry.orders;
-        if entry.registration.born != holdings.born
-            || is_older
-            || *entry.holdings == holdings.residents
-        {
+        let is_older = entry
+            .announced
+            .as_ref()
+            .is_some_and(|known| holdings.stamp <= known.stamp);
+        if entry.registration.born != holdings.born || is_older {
             return false;
         }
-        entry.orders = holdings.orders;
-        entry.holdings = Arc::new(holdings.residents);
-        true
+        let before = entry.holdings.clone();
+        entry.announced = Some(holdings);
+        entry.merge_holdings();
+        before != entry.holdings
     }
 
     /// Drops the endpoints whose time is over.
@@ -244,23 +247,23 @@
     }
 }
 
-/// Registrations list models, and adapters only at times: an adapter that is
-/// known from an order stays known while its model stays.
-fn merge_holdings(entry: &mut Entry, registration: &Registration) {
-    let Some(models) = &registration.models else {
-        return;
-    };
-    let mut merged = models.clone();
-    for resident in &mut merged {
-        let known = entry.holdings.iter().find(|r| r.model == resident.model);
-        let Some(known) = known else { continue };
-        for adapter in &known.adapters {
-            if !resident.adapters.contains(adapter) {
-                resident.adapters.push(adapter.clone());
+impl Entry {
+    /// Joins the registration with what the leader announced: an engine
+    /// registers its models soon after a change and its adapters hardly ever.
+    fn merge_holdings(&mut self) {
+        let registered = self.registration.models.iter().flatten();
+        let mut merged: Vec<Resident> = registered.cloned().collect();
+        if let Some(announced) = &self.announced {
+            for resident in &announced.residents {
+                match merged.iter_mut().find(|r| r.model == resident.model) {
+                    Some(known) => known.adapters.clone_from(&resident.adapters),
+                    None => merged.push(resident.clone()),
+                }
             }
+            merged.retain(|r| !announced.hidden.contains(&r.model));
+        }
+        if *self.holdings != merged {
+            self.holdings = Arc::new(merged);
         }
-    }
-    if *entry.holdings != merged {
-        entry.holdings = Arc::new(merged);
     }
 }
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -1,24 +1,33 @@
 //! The control thread: feeds the reducer and carries out its effects.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::control::{Control, Effect, Event};
+use super::control::{Control, Effect, Event, LocalUse};
 use super::document::Document;
+use super::duties::Duties;
+use super::ledger::Step;
 use super::shared::Shared;
 use super::store::Store;
-use super::sync::{ConfigurationFollower, RegistrationFollower, follow};
-use crate::bucket::{Bucket, BucketCell, WHOLE_PPM};
+use super::sync::{ConfigurationFollower, FleetFollower, RegistrationFollower, follow};
+use crate::bucket::{Bucket, BucketCell};
 use crate::clock::Millis;
 use crate::error::{Error, Result};
 
 /// Time between two looks at what is due.
 const TICK: Millis = Millis(50);
+/// Ticks between two readings of what callers ask for.
+const TICKS_PER_USE: u32 = 5;
+/// How long an adapter takes to its engine: ten milliseconds, and a few for the
+/// order itself.
+const ADAPTER_TIME: Millis = Millis(12);
 
 /// Runs control until the process ends.
 pub fn run(
@@ -44,31 +53,87 @@
 impl Driver {
     async fn drive(self, store: Rc<Store>, mut queue: UnboundedReceiver<Event>) {
         let events = self.events.clone();
+        let duties = Duties::new(store.clone(), self.shared.clone(), events.clone());
+        duties.start();
         spawn_local(follow(store.clone(), events.clone(), ConfigurationFollower));
         spawn_local(follow(store.clone(), events.clone(), RegistrationFollower));
-        spawn_local(tick(events));
-        let mut control = Control::new(&self.shared.settings.bounds);
+        spawn_local(follow(store, events.clone(), FleetFollower));
+        spawn_local(tick(self.shared.clone(), events));
+        let mut control = Control::new(self.shared.settings.clone());
         while let Some(event) = queue.recv().await {
             let effects = control.reduce(self.shared.now(), event);
             for effect in effects {
-                self.carry_out(&mut control, effect);
+                self.carry_out(&mut control, &duties, effect);
             }
         }
     }
 
-    fn carry_out(&self, control: &mut Control, effect: Effect) {
+    fn carry_out(&self, control: &mut Control, duties: &Rc<Duties>, effect: Effect) {
         match effect {
             Effect::Publish => {
                 let view = control.view(self.shared.now());
                 self.shared.publish(view);
             }
-            Effect::SetLimits(document) => self.set_limits(&document),
+            Effect::SetLimits(document) => self.set_limits(control, &document),
+            Effect::SetParts(parts) => self.set_parts(&parts),
+            Effect::SetGateways(gateways) => self.shared.set_gateways(gateways),
+            Effect::SetOthers(loads) => self.shared.set_others(loads),
+            Effect::Broadcast(message) => {
+                let to: Vec<SocketAddr> = control.members().iter().map(|m| m.address).collect();
+                duties.send(&to, message);
+            }
+            Effect::Send(to, message) => duties.send(&[to], message),
+            Effect::PullConfiguration(peer) => {
+                spawn_local(duties.clone().pull_configuration(peer));
+            }
+            Effect::Claim {
+                expected,
+                is_succession,
+            } => {
+                spawn_local(duties.clone().claim(expected, is_succession));
+            }
+            Effect::Resign => {
+                spawn_local(duties.clone().resign());
+            }
+            Effect::Step(step) => self.step(control, duties, step),
+            Effect::AnnounceSoon(holdings) => {
+                let events = self.events.clone();
+                spawn_local(async move {
+                    sleep(ADAPTER_TIME.as_duration()).await;
+                    // Fails only while the process ends.
+                    let _ = events.send(Event::Ready(holdings));
+                });
+            }
+        }
+    }
+
+    /// Sends an order only while the lease surely runs, judged right before.
+    fn step(&self, control: &Control, duties: &Rc<Duties>, step: Step) {
+        match step {
+            Step::Report(endpoint) => {
+                spawn_local(duties.clone().report(endpoint));
+            }
+            Step::Order { endpoint, order } => {
+                let mandate = control.mandate(self.shared.now());
+                if mandate.is_some_and(|m| m.fence == order.fence) {
+                    spawn_local(duties.clone().order(endpoint, order));
+                }
+            }
+        }
+    }
+
+    fn set_parts(&self, parts: &[(CompactString, u64)]) {
+        let now = self.shared.now();
+        for (workspace, ppm) in parts {
+            if let Some(bucket) = self.shared.bucket(workspace) {
+                bucket.with(|b| b.set_share(now, *ppm));
+            }
         }
     }
 
     /// Gives each workspace with a limit its bucket; a bucket that is there
     /// keeps its level.
-    fn set_limits(&self, document: &Document) {
+    fn set_limits(&self, control: &Control, document: &Document) {
         let now = self.shared.now();
         let old = self.shared.buckets();
         let limited = document.workspaces.iter().filter(|w| w.rate > 0);
@@ -79,7 +144,8 @@
                 return old[at].clone();
             }
             let mut bucket = Bucket::new(now, workspace.rate, workspace.burst);
-            bucket.set_share(now, WHOLE_PPM / self.shared.gateways() as u64);
+            let part = control.parts().find(|(name, _)| **name == workspace.name);
+            bucket.set_share(now, part.map_or(0, |(_, ppm)| ppm));
             Arc::new(BucketCell::new(workspace.name.clone(), bucket))
         });
         let buckets = buckets.collect();
@@ -87,13 +153,35 @@
     }
 }
 
-async fn tick(events: UnboundedSender<Event>) {
+/// Tells control that time passes, and what callers ask for meanwhile.
+async fn tick(shared: Arc<Shared>, events: UnboundedSender<Event>) {
     let mut ticks = interval(TICK.as_duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count: u32 = 0;
     loop {
         ticks.tick().await;
-        if events.send(Event::Tick).is_err() {
-            return;
+        count = count.wrapping_add(1);
+        let mut batch = vec![Event::Tick(shared.own_loads())];
+        if count.is_multiple_of(TICKS_PER_USE) {
+            batch.push(Event::Use(local_use(&shared)));
         }
+        for event in batch {
+            if events.send(event).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn local_use(shared: &Shared) -> LocalUse {
+    let now = shared.now();
+    let buckets = shared.buckets();
+    let asked = buckets.iter().map(|bucket| {
+        let usage = bucket.with(|b| b.take_usage(now, &bucket.workspace));
+        (bucket.workspace.clone(), usage.used + usage.short)
+    });
+    LocalUse {
+        asked: asked.collect(),
+        demand: shared.take_demand(),
     }
 }
--- /dev/null
+++ b/src/direct/duties.rs
@@ -0,0 +1,373 @@
+//! Calls to the store, the engines and the other gateways that control makes.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::StatusCode;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::connection::{CallClient, call};
+use super::control::Event;
+use super::dialect::{Commit, Lease, ModelOrder, StoreError};
+use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, Message, SECRET_BYTES, Secret, decode, encode};
+use super::inner::{CONFIGURATION_PATH, TOKEN_HEADER, token};
+use super::ledger::ORDER_TIMEOUT;
+use super::members::Member;
+use super::shared::Shared;
+use super::store::Store;
+use super::sync::{LEADER_KEY, MEMBER_PREFIX, SECRET_KEY};
+use crate::clock::Millis;
+use crate::journal;
+
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Millis = Millis(150);
+/// Parts of a lease after which it is renewed: two renewals may fail.
+const RENEWALS_PER_LEASE: u64 = 4;
+/// How long a peer may take to hand over its configuration.
+const PULL_TIMEOUT: Millis = Millis(800);
+
+/// Background calls. Only the control thread uses it.
+pub struct Duties {
+    /// The store.
+    pub store: Rc<Store>,
+    shared: Arc<Shared>,
+    events: UnboundedSender<Event>,
+    boot: u64,
+    lease: Cell<Option<Lease>>,
+    secret: Cell<Option<Secret>>,
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    sent: Cell<u64>,
+}
+
+impl Duties {
+    /// Prepares the calls; [`Duties::start`] begins them.
+    pub fn new(store: Rc<Store>, shared: Arc<Shared>, events: UnboundedSender<Event>) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            shared,
+            events,
+            boot: rand::random::<u64>().max(1),
+            lease: Cell::new(None),
+            secret: Cell::new(None),
+            socket: RefCell::new(None),
+            sent: Cell::new(0),
+        })
+    }
+
+    /// Begins to keep the lease and to listen to the other gateways.
+    pub fn start(self: &Rc<Self>) {
+        spawn_local(self.clone().keep_lease());
+        spawn_local(self.clone().listen());
+    }
+
+    fn tell(&self, event: Event) {
+        // Fails only while the process ends, when nobody decides any more.
+        let _ = self.events.send(event);
+    }
+
+    /// Keeps a lease with this gateway's registration for as long as it runs.
+    async fn keep_lease(self: Rc<Self>) {
+        loop {
+            match self.open_lease().await {
+                Ok(lease) => {
+                    self.lease.set(Some(lease));
+                    self.renew(lease).await;
+                    self.lease.set(None);
+                    self.tell(Event::LeaseLost);
+                }
+                Err(error) => {
+                    log_failed("lease", &error);
+                    sleep(RETRY_PAUSE.as_duration()).await;
+                }
+            }
+        }
+    }
+
+    async fn open_lease(&self) -> Result<Lease, StoreError> {
+        let sent_at = self.shared.now();
+        let lease = self
+            .store
+            .open_lease(self.shared.settings.bounds.lease)
+            .await?;
+        let member = Member {
+            name: self.shared.settings.name.clone(),
+            address: self.shared.settings.inner,
+            boot: self.boot,
+        };
+        let value = serde_json::to_vec(&member)
+            .map_err(|e| StoreError::Malformed(format_compact!("{e}")))?;
+        let key = format_compact!("{MEMBER_PREFIX}{}", member.name);
+        let commit = Commit {
+            expected: Vec::new(),
+            puts: vec![(key, Bytes::from(value), lease.id)],
+        };
+        self.store.commit(&commit).await?;
+        journal::write(
+            "lease.opened",
+            &[("lease", lease.id.into()), ("ttl_ms", lease.ttl.into())],
+        );
+        self.tell(Event::LeaseHeld(sent_at + lease.ttl));
+        Ok(lease)
+    }
+
+    /// Renews a lease until it has ended.
+    async fn renew(&self, lease: Lease) {
+        let pause = Millis(lease.ttl.0 / RENEWALS_PER_LEASE);
+        let mut held_until = self.shared.now() + lease.ttl;
+        loop {
+            sleep(pause.as_duration()).await;
+            // The lease runs from the arrival of the call, so at least from here.
+            let sent_at = self.shared.now();
+            match self.store.renew_lease(lease.id).await {
+                Ok(()) => {
+                    held_until = sent_at + lease.ttl;
+                    self.tell(Event::LeaseHeld(held_until));
+                    self.tell(Event::StoreHeard);
+                }
+                Err(StoreError::NotFound) => {
+                    journal::write("lease.ended", &[("lease", lease.id.into())]);
+                    return;
+                }
+                Err(error) => {
+                    log_failed("renew", &error);
+                    self.tell(Event::StoreLost);
+                    let is_over = self.shared.now() >= held_until;
+                    let wait = if is_over {
+                        RETRY_PAUSE
+                    } else {
+                        Millis(pause.0 / 4)
+                    };
+                    sleep(wait.as_duration()).await;
+                }
+            }
+        }
+    }
+
+    /// Ends the lease, so that the others need not wait for its end.
+    pub async fn end_lease(&self) {
+        if let Some(lease) = self.lease.take()
+            && let Err(error) = self.store.end_lease(lease.id).await
+        {
+            log_failed("end lease", &error);
+        }
+    }
+
+    /// Tries to take the leader's key.
+    pub async fn claim(self: Rc<Self>, expected: u64, is_succession: bool) {
+        let Some(lease) = self.lease.get() else {
+            return self.tell(Event::ClaimFailed);
+        };
+        let name = self.shared.settings.name.clone();
+        let commit = Commit {
+            expected: vec![(LEADER_KEY.into(), expected)],
+            puts: vec![(
+                LEADER_KEY.into(),
+                Bytes::copy_from_slice(name.as_bytes()),
+                lease.id,
+            )],
+        };
+        match self.store.commit(&commit).await {
+            Ok(fence) => self.tell(Event::Claimed {
+                fence,
+                is_succession,
+            }),
+            Err(error) => {
+                log_failed("claim", &error);
+                self.tell(Event::ClaimFailed);
+            }
+        }
+    }
+
+    /// Leaves the leader's key to others, if this gateway holds it.
+    pub async fn resign(self: Rc<Self>) {
+        let Ok(item) = self.store.read_key(LEADER_KEY).await else {
+            return;
+        };
+        if item.value.as_deref() != Some(self.shared.settings.name.as_bytes()) {
+            return;
+        }
+        let commit = Commit {
+            expected: vec![(LEADER_KEY.into(), item.revision)],
+            puts: vec![(LEADER_KEY.into(), Bytes::new(), 0)],
+        };
+        if let Err(error) = self.store.commit(&commit).await {
+            log_failed("resign", &error);
+        }
+    }
+
+    /// Sends an order and reports the answer.
+    pub async fn order(self: Rc<Self>, endpoint: CompactString, order: ModelOrder) {
+        let outcome = match self.address_of(&endpoint) {
+            Some(address) => {
+                let asked = self.store.dialect().order(&endpoint, &order);
+                let client = RefCell::new(CallClient::new(address));
+                let done = call(&client, asked, ORDER_TIMEOUT).await;
+                let status = done.ok().map(|(status, _)| status);
+                status.map(|status| self.store.dialect().decode_order(status))
+            }
+            None => None,
+        };
+        self.tell(Event::OrderAnswered {
+            endpoint,
+            order,
+            outcome,
+        });
+    }
+
+    /// Reads an engine's report.
+    pub async fn report(self: Rc<Self>, endpoint: CompactString) {
+        let Some(address) = self.address_of(&endpoint) else {
+            return;
+        };
+        let asked = self.store.dialect().report();
+        let client = RefCell::new(CallClient::new(address));
+        let Ok((StatusCode::OK, body)) = call(&client, asked, ORDER_TIMEOUT).await else {
+            journal::write("report.unanswered", &[("endpoint", (&endpoint).into())]);
+            return;
+        };
+        match self.store.dialect().decode_report(&body) {
+            Ok(report) => self.tell(Event::Reported { endpoint, report }),
+            Err(error) => journal::write(
+                "report.unreadable",
+                &[("endpoint", (&endpoint).into()), ("error", (&error).into())],
+            ),
+        }
+    }
+
+    fn address_of(&self, endpoint: &str) -> Option<SocketAddr> {
+        let view = self.shared.view();
+        let endpoints = &view.endpoints;
+        let at = endpoints.binary_search_by(|e| e.registration.id.as_str().cmp(endpoint));
+        at.ok().map(|at| endpoints[at].registration.address)
+    }
+
+    /// Fetches another gateway's configuration.
+    pub async fn pull_configuration(self: Rc<Self>, peer: SocketAddr) {
+        let Some(secret) = self.secret.get() else {
+            return;
+        };
+        let mut asked = http::Request::new(Bytes::new());
+        *asked.uri_mut() = http::Uri::from_static(CONFIGURATION_PATH);
+        if let Ok(token) = http::HeaderValue::from_str(&token(&secret)) {
+            asked.headers_mut().insert(TOKEN_HEADER, token);
+        }
+        let client = RefCell::new(CallClient::new(peer));
+        let Ok((StatusCode::OK, body)) = call(&client, asked, PULL_TIMEOUT).await else {
+            journal::write("configuration.pull_failed", &[]);
+            return;
+        };
+        match self.store.dialect().decode_configuration(&body) {
+            Ok(document) => {
+                journal::write(
+                    "configuration.pulled",
+                    &[("version", document.version.into())],
+                );
+                self.tell(Event::Configuration(Arc::new(document)));
+            }
+            Err(error) => journal::write("configuration.unreadable", &[("error", (&error).into())]),
+        }
+    }
+
+    /// Sends a message to gateways.
+    pub fn send(&self, to: &[SocketAddr], message: Message) {
+        let (Some(secret), Some(socket)) = (self.secret.get(), self.socket.borrow().clone()) else {
+            return;
+        };
+        self.sent.set(self.sent.get() + 1);
+        let datagram = Datagram {
+            from: self.shared.settings.name.clone(),
+            boot: self.boot,
+            number: self.sent.get(),
+            message,
+        };
+        match encode(&secret, &datagram) {
+            // A datagram that cannot be sent now is replaced by the next one.
+            Ok(bytes) => to.iter().for_each(|to| {
+                let _ = socket.try_send_to(&bytes, *to);
+            }),
+            Err(error) => log::warn!("message to gateways: {error}"),
+        }
+    }
+
+    /// Reads what other gateways send.
+    async fn listen(self: Rc<Self>) {
+        let secret = self.find_secret().await;
+        self.secret.set(Some(secret));
+        self.shared.set_token(token(&secret));
+        let address = self.shared.settings.inner;
+        let socket = loop {
+            match UdpSocket::bind(address).await {
+                Ok(socket) => break Rc::new(socket),
+                Err(error) => {
+                    journal::write(
+                        "peers.bind_failed",
+                        &[("error", (&error.to_string()).into())],
+                    );
+                    sleep(RETRY_PAUSE.as_duration()).await;
+                }
+            }
+        };
+        *self.socket.borrow_mut() = Some(socket.clone());
+        let mut buf = vec![0; MAX_DATAGRAM_BYTES * 2];
+        loop {
+            let Ok((length, from)) = socket.recv_from(&mut buf).await else {
+                // An earlier datagram met a closed port; the socket is still good.
+                continue;
+            };
+            match decode(&secret, &buf[..length]) {
+                Ok(datagram) => self.tell(Event::Datagram(datagram)),
+                Err(error) => log::debug!("datagram from {from}: {error}"),
+            }
+        }
+    }
+
+    /// Reads the fleet's secret, or makes it if there is none.
+    async fn find_secret(&self) -> Secret {
+        loop {
+            match self.read_or_make_secret().await {
+                Ok(secret) => return secret,
+                Err(error) => {
+                    log_failed("secret", &error);
+                    sleep(RETRY_PAUSE.as_duration()).await;
+                }
+            }
+        }
+    }
+
+    async fn read_or_make_secret(&self) -> Result<Secret, StoreError> {
+        match self.store.read_key(SECRET_KEY).await {
+            Ok(item) => {
+                let value = item.value.unwrap_or_default();
+                let secret: Result<Secret, _> = value.as_ref().try_into();
+                secret.map_err(|_| StoreError::Malformed("secret has another length".into()))
+            }
+            Err(StoreError::NotFound) => {
+                let secret: Secret = rand::random::<[u8; SECRET_BYTES]>();
+                let commit = Commit {
+                    expected: vec![(SECRET_KEY.into(), 0)],
+                    puts: vec![(SECRET_KEY.into(), Bytes::copy_from_slice(&secret), 0)],
+                };
+                self.store.commit(&commit).await?;
+                Ok(secret)
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
+
+fn log_failed(what: &str, error: &StoreError) {
+    journal::write(
+        "store.call_failed",
+        &[
+            ("call", what.into()),
+            ("error", (&error.to_string()).into()),
+        ],
+    );
+}
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -173,10 +173,13 @@
         let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
         let (parts, body) = req.into_parts();
         let body = read_body(body, document.limits.body_bytes, patience).await?;
+        let service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
+        let wanted = ask.model.as_ref();
         let job = Job {
             route: route.name.clone(),
             kind: route.kind,
-            service: service.ok_or(Refusal::new(Code::NoEndpoint))?,
+            demand: wanted.map(|wanted| self.shared.count_demand(&service, wanted)),
+            service,
             workspace: workspace.map(|w| w.name.clone()),
             priority,
             max_endpoints: route.max_endpoints,
@@ -208,10 +211,6 @@
                 ("time_ms", job.due.since(job.arrived).into()),
             ],
         );
-        if let Some(wanted) = &job.ask.model {
-            let tokens = job.ask.footprint();
-            self.shared.note_demand(&job.service, wanted, tokens);
-        }
         self.forwarder.note_first(&job);
         answer(self.forwarder.clone(), job, charged).await
     }
--- /dev/null
+++ b/src/direct/gossip.rs
@@ -0,0 +1,150 @@
+//! Messages between gateways: small, periodic, each replaced by the next one.
+//!
+//! They travel as datagrams, since a lost one needs no repair. A code made with
+//! a secret that only the fleet's members can read proves where they are from.
+
+use compact_str::CompactString;
+use hmac::{Hmac, KeyInit as _, Mac as _};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+use super::directory::Holdings;
+use super::request::ModelRef;
+use super::view::LoadTable;
+
+/// Length of the secret, in bytes: one block of the hash.
+pub const SECRET_BYTES: usize = 64;
+/// Length of the code at the end of a datagram, in bytes: half of the hash,
+/// the shortest truncation that RFC 2104 advises.
+const CODE_BYTES: usize = 16;
+/// The largest datagram, in bytes: one that no common link has to split.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// The fleet's secret.
+pub type Secret = [u8; SECRET_BYTES];
+
+/// Use of one workspace at one gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkspaceUse {
+    /// The workspace.
+    pub workspace: CompactString,
+    /// Tokens asked for a second, those refused by the limit included.
+    pub asked_per_s: u64,
+}
+
+/// Use of one model at one gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelUse {
+    /// The service.
+    pub service: CompactString,
+    /// The model.
+    pub model: CompactString,
+    /// Requests that arrive a second, in thousandths.
+    pub milli_per_s: u32,
+    /// Requests that wait or run.
+    pub open: u32,
+}
+
+/// What a gateway tells the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// How it is.
+    Status {
+        /// The version of its configuration; 0 before the first one.
+        version: u64,
+        /// Whether it is stopping.
+        is_draining: bool,
+        /// What it has in flight.
+        loads: LoadTable,
+    },
+    /// What its callers ask of the workspaces' limits.
+    Limits(Vec<WorkspaceUse>),
+    /// What its callers ask of the models.
+    Demand(Vec<ModelUse>),
+    /// A request waits for a model or an adapter; for the leader.
+    Wanted {
+        /// The service.
+        service: CompactString,
+        /// The model.
+        wanted: ModelRef,
+    },
+    /// What engines hold, as the leader knows from orders and reports.
+    Holdings(Vec<Holdings>),
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender.
+    pub from: CompactString,
+    /// The sender's start.
+    pub boot: u64,
+    /// Grows with each datagram of a start.
+    pub number: u64,
+    /// What it says.
+    pub message: Message,
+}
+
+/// Why a datagram is not used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadDatagram {
+    /// It does not prove that a member sent it.
+    #[error("the code is wrong")]
+    Code,
+    /// It cannot be read.
+    #[error("the message cannot be read: {0}")]
+    Message(String),
+}
+
+/// Encodes a datagram.
+pub fn encode(secret: &Secret, datagram: &Datagram) -> Result<Vec<u8>, BadDatagram> {
+    let unreadable = |e: postcard::Error| BadDatagram::Message(e.to_string());
+    let mut bytes = postcard::to_stdvec(datagram).map_err(unreadable)?;
+    let code = code_of(secret, &bytes);
+    bytes.extend_from_slice(&code);
+    Ok(bytes)
+}
+
+/// Decodes a datagram after checking its code.
+pub fn decode(secret: &Secret, bytes: &[u8]) -> Result<Datagram, BadDatagram> {
+    let at = bytes.len().checked_sub(CODE_BYTES);
+    let (message, code) = bytes.split_at(at.ok_or(BadDatagram::Code)?);
+    let mut mac = mac_of(secret);
+    mac.update(message);
+    mac.verify_truncated_left(code)
+        .map_err(|_| BadDatagram::Code)?;
+    postcard::from_bytes(message).map_err(|e| BadDatagram::Message(e.to_string()))
+}
+
+/// Splits rows over messages so that each fits a datagram.
+pub fn split_rows<T: Clone + Serialize>(rows: &[T]) -> Vec<Vec<T>> {
+    // Room for the sender, the numbers and the code.
+    const ROOM: usize = MAX_DATAGRAM_BYTES - 128;
+    let mut parts: Vec<Vec<T>> = vec![Vec::new()];
+    let mut used = 0;
+    for row in rows {
+        let size = postcard::experimental::serialized_size(row).unwrap_or(ROOM);
+        if used + size > ROOM && used > 0 {
+            parts.push(Vec::new());
+            used = 0;
+        }
+        used += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(row.clone());
+        }
+    }
+    parts
+}
+
+fn mac_of(secret: &Secret) -> Hmac<Sha256> {
+    Hmac::<Sha256>::new(secret.into())
+}
+
+fn code_of(secret: &Secret, message: &[u8]) -> [u8; CODE_BYTES] {
+    let mut mac = mac_of(secret);
+    mac.update(message);
+    let whole = mac.finalize().into_bytes();
+    let mut code = [0; CODE_BYTES];
+    code.copy_from_slice(&whole[..CODE_BYTES]);
+    code
+}
--- /dev/null
+++ b/src/direct/inner.rs
@@ -0,0 +1,118 @@
+//! The port for operators and other gateways: state dump, metrics, configuration.
+
+use std::sync::Arc;
+
+use hmac::{Hmac, KeyInit as _, Mac as _};
+use http::{HeaderName, StatusCode};
+use serde_json::{Value, json};
+use sha2::Sha256;
+
+use super::gossip::Secret;
+use super::shared::Shared;
+use crate::code::Code;
+use crate::http::{Request, Respond, Response, json as json_response, whole};
+
+/// Where other gateways fetch the configuration.
+pub const CONFIGURATION_PATH: &str = "/configuration";
+/// The header that proves a gateway to be a member of the fleet.
+pub const TOKEN_HEADER: HeaderName = HeaderName::from_static("x-fleet-token");
+
+/// What members show to each other: a code over the path, by the fleet's secret.
+pub fn token(secret: &Secret) -> String {
+    let mut mac = Hmac::<Sha256>::new(secret.into());
+    mac.update(CONFIGURATION_PATH.as_bytes());
+    let code = mac.finalize().into_bytes();
+    code.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Answers operators and other gateways.
+pub struct Inner {
+    shared: Arc<Shared>,
+}
+
+impl Inner {
+    /// The port over the process's shared state.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    /// The configuration as the operator wrote it; it holds keys, so that only
+    /// members get it.
+    fn configuration(&self, req: &Request) -> Response {
+        let shown = req.header(TOKEN_HEADER.as_str());
+        let is_member = self
+            .shared
+            .token()
+            .is_some_and(|t| shown == Some(t.as_str()));
+        let document = self.shared.view().document.clone();
+        match document {
+            Some(document) if is_member => whole(
+                StatusCode::OK,
+                "application/octet-stream",
+                document.raw.clone(),
+            ),
+            _ => refusal(Code::BadKey),
+        }
+    }
+
+    fn state(&self) -> Value {
+        let view = self.shared.view();
+        let now = self.shared.now();
+        let own = self.shared.own_loads();
+        let others = self.shared.others();
+        let endpoints: Vec<Value> = view
+            .endpoints
+            .iter()
+            .map(|e| {
+                let id = &e.registration.id;
+                json!({
+                    "id": id,
+                    "born": e.registration.born,
+                    "service": e.registration.service,
+                    "zone": e.registration.zone,
+                    "usability": format!("{:?}", e.usability),
+                    "holds": *e.holdings,
+                    "in_flight_here": super::view::load_of(&own, id).requests,
+                    "in_flight_elsewhere": super::view::load_of(&others, id).requests,
+                })
+            })
+            .collect();
+        let buckets = self.shared.buckets();
+        let limits: Vec<Value> = buckets
+            .iter()
+            .map(|b| json!({ "workspace": b.workspace, "ppm": b.with(|b| b.share_ppm()) }))
+            .collect();
+        json!({
+            "name": self.shared.settings.name,
+            "zone": self.shared.settings.zone,
+            "up_ms": now,
+            "version": view.document.as_ref().map(|d| d.version),
+            "generation": view.generation,
+            "gateways": self.shared.gateways(),
+            "open_requests": self.shared.open_requests(),
+            "draining": self.shared.is_draining(),
+            "endpoints": endpoints,
+            "limits": limits,
+        })
+    }
+}
+
+impl Respond for Inner {
+    async fn respond(self: Arc<Self>, req: Request) -> Response {
+        match req.uri.path() {
+            "/state" => json_response(StatusCode::OK, &self.state()),
+            "/metrics" => whole(
+                StatusCode::OK,
+                "text/plain; version=0.0.4",
+                self.shared.metrics.render(),
+            ),
+            CONFIGURATION_PATH => self.configuration(&req),
+            _ => refusal(Code::NoRoute),
+        }
+    }
+}
+
+fn refusal(code: Code) -> Response {
+    let body = json!({ "error": { "code": code.number(), "message": code.text() } });
+    json_response(code.status(), &body)
+}
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -9,7 +9,7 @@
 
 use super::document::{Document, Kind};
 use super::request::{Ask, Forwarding};
-use super::shared::Shared;
+use super::shared::{CountedDemand, Shared};
 use super::view::Load;
 use crate::clock::Millis;
 use crate::journal::{self, Value};
@@ -48,6 +48,8 @@
     pub body: Bytes,
     /// Whether its lines are logged.
     pub is_logged: bool,
+    /// Counts it as demand for its model.
+    pub demand: Option<CountedDemand>,
 }
 
 /// The lowest rank that an endpoint knows.
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -1,11 +1,12 @@
 //! What a caller's request asks for, as far as routing and limits need it.
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 
 /// A model, and an adapter of it if one is named.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ModelRef {
     /// The model.
     pub model: CompactString,
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -30,9 +30,10 @@
 /// What the operator binds the system to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// How long a lease of a duty lasts, and how long after another holder's
-    /// last order the next one may order.
+    /// How long a lease of a duty lasts.
     pub lease: Millis,
+    /// How long after another holder's last order the next holder may order.
+    pub succession: Millis,
     /// How long after a drain was announced an endpoint may still get work.
     pub drain: Millis,
     /// How long a process may take to stop.
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -1,8 +1,8 @@
 //! State that the control thread and the traffic thread share.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Mutex, OnceLock};
 
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
@@ -17,17 +17,17 @@
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
 
-/// Demand for one model since the last reading.
+/// Demand for one model at this gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelDemand {
     /// The service.
     pub service: CompactString,
     /// The model.
     pub model: CompactString,
-    /// Requests that arrived.
-    pub requests: u32,
-    /// Tokens to read and to generate of these requests.
-    pub tokens: u64,
+    /// Requests that arrived since the last reading.
+    pub arrived: u32,
+    /// Requests that wait or run.
+    pub open: u32,
 }
 
 /// What both threads know.
@@ -51,6 +51,7 @@
     open_requests: AtomicU64,
     gateways: AtomicUsize,
     connections: AtomicU32,
+    token: OnceLock<String>,
 }
 
 impl Shared {
@@ -77,6 +78,7 @@
             open_requests: AtomicU64::new(0),
             gateways: AtomicUsize::new(1),
             connections: AtomicU32::new(0),
+            token: OnceLock::new(),
         }
     }
 
@@ -139,29 +141,39 @@
         *lock(&self.own_loads) = loads;
     }
 
-    /// Counts a request for a model.
-    pub fn note_demand(&self, service: &str, wanted: &ModelRef, tokens: u64) {
+    /// Counts a request for a model until the guard is dropped.
+    pub fn count_demand(self: &Arc<Self>, service: &str, wanted: &ModelRef) -> CountedDemand {
         let mut demand = lock(&self.demand);
-        let known = demand
-            .iter_mut()
-            .find(|d| d.model == wanted.model && d.service == service);
-        match known {
-            Some(known) => {
-                known.requests += 1;
-                known.tokens += tokens;
-            }
-            None => demand.push(ModelDemand {
+        let key = (service, wanted.model.as_str());
+        let at = demand.binary_search_by(|d| (d.service.as_str(), d.model.as_str()).cmp(&key));
+        let at = at.unwrap_or_else(|at| {
+            let fresh = ModelDemand {
                 service: service.into(),
                 model: wanted.model.clone(),
-                requests: 1,
-                tokens,
-            }),
+                arrived: 0,
+                open: 0,
+            };
+            demand.insert(at, fresh);
+            at
+        });
+        demand[at].arrived += 1;
+        demand[at].open += 1;
+        CountedDemand {
+            shared: self.clone(),
+            service: service.into(),
+            model: wanted.model.clone(),
         }
     }
 
-    /// Reads and resets the demand.
+    /// Reads the demand and resets the count of arrivals.
     pub fn take_demand(&self) -> Vec<ModelDemand> {
-        std::mem::take(&mut *lock(&self.demand))
+        let mut demand = lock(&self.demand);
+        let read = demand.clone();
+        demand.retain(|d| d.open > 0);
+        for one in demand.iter_mut() {
+            one.arrived = 0;
+        }
+        read
     }
 
     /// Tells control that something happened.
@@ -201,12 +213,41 @@
         self.gateways.store(gateways.max(1), Ordering::Relaxed);
     }
 
+    /// What members of the fleet show to each other; `None` before it is known.
+    pub fn token(&self) -> Option<&String> {
+        self.token.get()
+    }
+
+    /// Notes what members show to each other; the first one stays.
+    pub fn set_token(&self, token: String) {
+        self.token.get_or_init(|| token);
+    }
+
     /// The counter of callers' connections.
     pub fn connections(&self) -> &AtomicU32 {
         &self.connections
     }
 }
 
+/// Counts a request as demand for its model.
+pub struct CountedDemand {
+    shared: Arc<Shared>,
+    service: CompactString,
+    model: CompactString,
+}
+
+impl Drop for CountedDemand {
+    fn drop(&mut self) {
+        let mut demand = lock(&self.shared.demand);
+        let known = demand
+            .iter_mut()
+            .find(|d| d.model == self.model && d.service == self.service);
+        if let Some(known) = known {
+            known.open = known.open.saturating_sub(1);
+        }
+    }
+}
+
 /// Counts a request as open.
 pub struct OpenRequest(Arc<Shared>);
 
--- /dev/null
+++ b/src/direct/shares.rs
@@ -0,0 +1,149 @@
+//! Which part of each workspace's limit a gateway may use.
+//!
+//! Every gateway works out the same division from the same numbers: what each
+//! member reported that its callers ask for. A part that shrinks is taken away
+//! at once, one that grows is used only after the others have certainly heard
+//! of it. Members that fall silent keep their part until their registration
+//! ends, by which time they have stopped using it themselves.
+
+use compact_str::CompactString;
+
+use super::gossip::WorkspaceUse;
+use crate::bucket::WHOLE_PPM;
+use crate::clock::Millis;
+
+/// How long a larger part waits: two reports and the way between zones.
+const RAISE_DELAY: Millis = Millis(600);
+/// Part of the limit that is divided evenly whatever callers ask for, so that a
+/// gateway whose callers come back finds room: one in this many.
+const EVEN_PART: u64 = 5;
+/// A gateway that hears neither the store nor a peer halves its parts: the
+/// others release them when its registration ends.
+const ISOLATED_DIVISOR: u64 = 2;
+
+/// What one member asks for.
+#[derive(Clone, Debug, Default)]
+pub struct MemberUse {
+    /// Uses in ascending order of workspace; `None` before the first report.
+    pub uses: Option<Vec<WorkspaceUse>>,
+}
+
+#[derive(Clone, Debug)]
+struct Raise {
+    ppm: u64,
+    since: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Part {
+    workspace: CompactString,
+    /// In force now, in parts per million.
+    ppm: u64,
+    raise: Option<Raise>,
+}
+
+/// The parts of one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    parts: Vec<Part>,
+}
+
+/// A workspace's limit, as far as the division needs it.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// The workspace.
+    pub workspace: CompactString,
+    /// Tokens a second.
+    pub rate: u64,
+}
+
+impl Shares {
+    /// Works out the parts anew and returns those that changed.
+    pub fn divide(
+        &mut self,
+        now: Millis,
+        limits: &[Limit],
+        own: &MemberUse,
+        others: &[MemberUse],
+        is_isolated: bool,
+    ) -> Vec<(CompactString, u64)> {
+        self.parts
+            .retain(|p| limits.iter().any(|l| l.workspace == p.workspace));
+        let mut changed = Vec::new();
+        for limit in limits {
+            let mut wanted = part_of(limit, own, others);
+            if is_isolated {
+                wanted /= ISOLATED_DIVISOR;
+            }
+            let part = self.part_mut(&limit.workspace);
+            if part.approach(now, wanted) {
+                changed.push((part.workspace.clone(), part.ppm));
+            }
+        }
+        changed
+    }
+
+    /// The parts in force, in parts per million.
+    pub fn parts(&self) -> impl Iterator<Item = (&CompactString, u64)> {
+        self.parts.iter().map(|p| (&p.workspace, p.ppm))
+    }
+
+    fn part_mut(&mut self, workspace: &str) -> &mut Part {
+        let at = self
+            .parts
+            .binary_search_by(|p| p.workspace.as_str().cmp(workspace));
+        let at = at.unwrap_or_else(|at| {
+            let part = Part {
+                workspace: workspace.into(),
+                ppm: 0,
+                raise: None,
+            };
+            self.parts.insert(at, part);
+            at
+        });
+        &mut self.parts[at]
+    }
+}
+
+impl Part {
+    /// Moves to a wanted part: down at once, up once it stood long enough.
+    fn approach(&mut self, now: Millis, wanted: u64) -> bool {
+        if wanted <= self.ppm {
+            self.raise = None;
+            let has_changed = wanted < self.ppm;
+            self.ppm = wanted;
+            return has_changed;
+        }
+        let raise = self.raise.get_or_insert(Raise {
+            ppm: wanted,
+            since: now,
+        });
+        // The least that was wanted throughout is what all others left free.
+        raise.ppm = raise.ppm.min(wanted);
+        if now.since(raise.since) < RAISE_DELAY {
+            return false;
+        }
+        let has_changed = raise.ppm > self.ppm;
+        self.ppm = self.ppm.max(raise.ppm);
+        self.raise = None;
+        has_changed
+    }
+}
+
+/// The part of one gateway: an even part, and the rest by what is asked for.
+/// A member that has not reported counts with an even part of the rate.
+fn part_of(limit: &Limit, own: &MemberUse, others: &[MemberUse]) -> u64 {
+    let members = others.len() as u64 + 1;
+    let even = limit.rate.max(1) / members;
+    let floor = (limit.rate / members / EVEN_PART).max(1);
+    let asked = |one: &MemberUse| {
+        let Some(uses) = &one.uses else {
+            return even;
+        };
+        let at = uses.binary_search_by(|u| u.workspace.cmp(&limit.workspace));
+        floor + at.map_or(0, |at| uses[at].asked_per_s)
+    };
+    let mine = asked(own);
+    let all = mine + others.iter().map(asked).sum::<u64>();
+    (u128::from(WHOLE_PPM) * u128::from(mine) / u128::from(all.max(1))) as u64
+}
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -7,8 +7,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
-use super::control::Event;
+use super::control::{Event, LeaderRecord};
 use super::dialect::{Item, Page, StoreError};
+use super::members::Member;
 use super::store::Store;
 use crate::clock::Millis;
 use crate::journal;
@@ -103,6 +104,67 @@
     }
 }
 
+/// The prefix of what the gateways keep in the store.
+pub const FLEET_PREFIX: &str = "rattanstall/";
+/// The prefix of the gateways' leased registrations.
+pub const MEMBER_PREFIX: &str = "rattanstall/gateways/";
+/// The key of the leader.
+pub const LEADER_KEY: &str = "rattanstall/leader";
+/// The key of the fleet's secret.
+pub const SECRET_KEY: &str = "rattanstall/secret";
+
+/// Follows the gateways' registrations and the leader's key.
+pub struct FleetFollower;
+
+impl FleetFollower {
+    fn member(item: &Item) -> Option<Member> {
+        let value = item.value.as_ref()?;
+        match serde_json::from_slice(value) {
+            Ok(member) => Some(member),
+            Err(error) => {
+                log_skipped(&item.key, &error.to_string());
+                None
+            }
+        }
+    }
+
+    fn leader(item: &Item) -> Option<LeaderRecord> {
+        let value = item.value.as_ref()?;
+        Some(LeaderRecord {
+            holder: String::from_utf8_lossy(value).as_ref().into(),
+            revision: item.revision,
+        })
+    }
+}
+
+impl Follower for FleetFollower {
+    fn prefix(&self, _store: &Store) -> CompactString {
+        FLEET_PREFIX.into()
+    }
+
+    fn read(&self, _store: &Store, page: Page) -> Vec<Event> {
+        let members = page.items.iter();
+        let members = members.filter(|item| item.key.starts_with(MEMBER_PREFIX));
+        let members = members.filter_map(Self::member).collect();
+        let leader = page.items.iter().find(|item| item.key == LEADER_KEY);
+        vec![
+            Event::Members(members),
+            Event::LeaderKey(leader.and_then(Self::leader)),
+        ]
+    }
+
+    fn changed(&self, _store: &Store, item: Item) -> Option<Event> {
+        if item.key == LEADER_KEY {
+            return Some(Event::LeaderKey(Self::leader(&item)));
+        }
+        let name = item.key.strip_prefix(MEMBER_PREFIX)?;
+        match item.value {
+            Some(_) => Self::member(&item).map(Event::MemberPut),
+            None => Some(Event::MemberRemoved(name.into())),
+        }
+    }
+}
+
 fn log_skipped(key: &str, error: &str) {
     journal::write(
         "store.entry_skipped",
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -26,7 +26,7 @@
     pub registration: Arc<Registration>,
     /// How far it may be used.
     pub usability: Usability,
-    /// What it holds, by the newest source.
+    /// What it holds for requests, by its registration and by the leader.
     pub holdings: Arc<Vec<Resident>>,
 }
 
