--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -97,13 +97,23 @@
             let front = self.clone();
             async move { Ok::<_, Infallible>(front.respond(req).await) }
         });
-        let served = http1::Builder::new()
+        let mut draining = self.shared.drain_signal();
+        let mut connection = std::pin::pin!(http1::Builder::new()
             .timer(TokioTimer::new())
+            .keep_alive(!self.shared.is_draining())
             // The library's timer covers the idle time before a head as well.
             .header_read_timeout((limits.idle + limits.head).as_duration())
             .max_buf_size(limits.head_bytes.max(8 << 10) * 2)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .serve_connection(TokioIo::new(stream), service));
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            () = draining.begun() => {
+                // What runs goes on to its end; an idle connection closes now,
+                // so that no caller finds it open when the process ends.
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
         if let Err(error) = served {
             log::debug!("a caller's connection ended: {error}");
         }
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -1,7 +1,7 @@
 //! State that the control thread and the traffic thread share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, OnceLock};
 
 use arc_swap::ArcSwap;
@@ -47,7 +47,7 @@
     own_loads: Mutex<LoadTable>,
     demand: Mutex<Vec<ModelDemand>>,
     events: mpsc::UnboundedSender<Event>,
-    draining: AtomicBool,
+    draining: watch::Sender<bool>,
     open_requests: AtomicU64,
     gateways: AtomicUsize,
     connections: AtomicU32,
@@ -74,7 +74,7 @@
             own_loads: Mutex::default(),
             demand: Mutex::default(),
             events,
-            draining: AtomicBool::new(false),
+            draining: watch::Sender::new(false),
             open_requests: AtomicU64::new(0),
             gateways: AtomicUsize::new(1),
             connections: AtomicU32::new(0),
@@ -184,12 +184,17 @@
 
     /// Whether the process is stopping.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        *self.draining.borrow()
     }
 
     /// Notes that the process is stopping.
     pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::Release);
+        self.draining.send_replace(true);
+    }
+
+    /// Tells when the process begins to stop.
+    pub fn drain_signal(&self) -> DrainSignal {
+        DrainSignal(self.draining.subscribe())
     }
 
     /// Requests without an end of their answers.
@@ -229,6 +234,18 @@
     }
 }
 
+/// Waits for the process to begin to stop.
+pub struct DrainSignal(watch::Receiver<bool>);
+
+impl DrainSignal {
+    /// Returns when the process begins to stop; never if it did so before.
+    pub async fn begun(&mut self) {
+        if self.0.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Counts a request as demand for its model.
 pub struct CountedDemand {
     shared: Arc<Shared>,
