--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -9,7 +9,7 @@
 /// The whole of a workspace's rate and burst, in parts per million.
 pub const WHOLE_PPM: u64 = 1_000_000;
 /// Fractions of a token that a bucket counts in.
-const MICROS: u128 = 1_000_000;
+const MICROS: i128 = 1_000_000;
 
 /// A bucket that holds one gateway's share of a workspace's rate and burst.
 ///
@@ -21,10 +21,12 @@
     rate: u64,
     burst: u64,
     share_ppm: u64,
-    level_micros: u128,
+    /// Below zero while tokens are promised that have not accrued yet.
+    level_micros: i128,
     updated: Millis,
     used: u64,
     short: u64,
+    refused: u64,
 }
 
 /// What a bucket saw since the last reading.
@@ -34,8 +36,10 @@
     pub workspace: CompactString,
     /// Tokens charged, less those refunded.
     pub used: u64,
-    /// Tokens that were asked for and not there.
+    /// The most tokens that one request asked for and that were not there.
     pub short: u64,
+    /// Tokens that were asked for and not there, of all requests together.
+    pub refused: u64,
     /// Tokens there now.
     pub level: u64,
 }
@@ -51,27 +55,49 @@
             updated: now,
             used: 0,
             short: 0,
+            refused: 0,
         }
     }
 
     /// Takes tokens, or tells how long it takes until they are there.
     pub fn charge(&mut self, now: Millis, tokens: u64) -> Result<(), Millis> {
+        match self.reserve(now, tokens, Millis::ZERO) {
+            Ok(_) => Ok(()),
+            Err(wait) => Err(wait),
+        }
+    }
+
+    /// Takes tokens that are there within `max_wait` and returns the time until
+    /// then; an error is the time until they would be there. Those who wait are
+    /// served in the order in which they asked.
+    pub fn reserve(
+        &mut self,
+        now: Millis,
+        tokens: u64,
+        max_wait: Millis,
+    ) -> Result<Millis, Millis> {
         self.accrue(now);
-        let wanted = u128::from(tokens) * MICROS;
-        if let Some(left) = self.level_micros.checked_sub(wanted) {
-            self.level_micros = left;
+        let wanted = i128::from(tokens) * MICROS;
+        let missing = wanted - self.level_micros;
+        let wait = match missing {
+            ..=0 => Millis::ZERO,
+            missing => self.time_at_share(missing),
+        };
+        if wait <= max_wait {
+            self.level_micros -= wanted;
             self.used += tokens;
-            return Ok(());
+            return Ok(wait);
         }
         self.short = self.short.max(tokens);
-        Err(self.time_to_fill(wanted - self.level_micros))
+        self.refused += tokens;
+        Err(self.time_to_fill(missing))
     }
 
     /// Gives back tokens that were charged and not used.
     pub fn refund(&mut self, now: Millis, tokens: u64) {
         self.accrue(now);
         self.used = self.used.saturating_sub(tokens);
-        self.add(u128::from(tokens) * MICROS);
+        self.add(i128::from(tokens) * MICROS);
     }
 
     /// Changes the workspace's rate and burst.
@@ -93,7 +119,8 @@
     pub fn split(&mut self, now: Millis, ppm: u64) -> u64 {
         self.accrue(now);
         let ppm = ppm.min(self.share_ppm);
-        let part = self.level_micros * u128::from(ppm) / u128::from(self.share_ppm.max(1));
+        let level = self.level_micros.max(0);
+        let part = level * i128::from(ppm) / i128::from(self.share_ppm.max(1));
         let tokens = part / MICROS;
         self.level_micros -= tokens * MICROS;
         self.set_share(now, self.share_ppm - ppm);
@@ -103,7 +130,7 @@
     /// Adds tokens that came with a share.
     pub fn deposit(&mut self, now: Millis, tokens: u64) {
         self.accrue(now);
-        self.add(u128::from(tokens) * MICROS);
+        self.add(i128::from(tokens) * MICROS);
     }
 
     /// Reads and resets the counters of use.
@@ -113,7 +140,8 @@
             workspace: workspace.into(),
             used: std::mem::take(&mut self.used),
             short: std::mem::take(&mut self.short),
-            level: (self.level_micros / MICROS) as u64,
+            refused: std::mem::take(&mut self.refused),
+            level: (self.level_micros.max(0) / MICROS) as u64,
         }
     }
 
@@ -125,24 +153,32 @@
     fn accrue(&mut self, now: Millis) {
         let elapsed = now.since(self.updated);
         self.updated = self.updated.max(now);
-        let grown = u128::from(self.rate) * u128::from(self.share_ppm) * u128::from(elapsed.0);
+        let grown = i128::from(self.rate) * i128::from(self.share_ppm) * i128::from(elapsed.0);
         self.add(grown / 1_000);
     }
 
-    fn add(&mut self, micros: u128) {
+    fn add(&mut self, micros: i128) {
         self.level_micros += micros;
         self.clip();
     }
 
     fn clip(&mut self) {
-        let cap = u128::from(self.burst) * u128::from(self.share_ppm);
+        let cap = i128::from(self.burst) * i128::from(self.share_ppm);
         self.level_micros = self.level_micros.min(cap);
     }
 
-    fn time_to_fill(&self, missing_micros: u128) -> Millis {
+    fn time_at_share(&self, missing_micros: i128) -> Millis {
+        let per_ms = i128::from(self.rate) * i128::from(self.share_ppm) / 1_000;
+        match per_ms {
+            ..=0 => Millis(u64::MAX),
+            per_ms => Millis((missing_micros / per_ms) as u64 + 1),
+        }
+    }
+
+    fn time_to_fill(&self, missing_micros: i128) -> Millis {
         // A small share still learns the time at the whole rate: shares move.
-        let per_ms = u128::from(self.rate) * u128::from(WHOLE_PPM) / 1_000;
-        Millis(missing_micros.div_ceil(per_ms.max(1)) as u64)
+        let per_ms = i128::from(self.rate) * i128::from(WHOLE_PPM) / 1_000;
+        Millis((missing_micros / per_ms.max(1)) as u64 + 1)
     }
 }
 
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -178,7 +178,7 @@
     let buckets = shared.buckets();
     let asked = buckets.iter().map(|bucket| {
         let usage = bucket.with(|b| b.take_usage(now, &bucket.workspace));
-        (bucket.workspace.clone(), usage.used + usage.short)
+        (bucket.workspace.clone(), usage.used + usage.refused)
     });
     LocalUse {
         asked: asked.collect(),
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -98,13 +98,15 @@
             async move { Ok::<_, Infallible>(front.respond(req).await) }
         });
         let mut draining = self.shared.drain_signal();
-        let mut connection = std::pin::pin!(http1::Builder::new()
-            .timer(TokioTimer::new())
-            .keep_alive(!self.shared.is_draining())
-            // The library's timer covers the idle time before a head as well.
-            .header_read_timeout((limits.idle + limits.head).as_duration())
-            .max_buf_size(limits.head_bytes.max(8 << 10) * 2)
-            .serve_connection(TokioIo::new(stream), service));
+        let mut connection = std::pin::pin!(
+            http1::Builder::new()
+                .timer(TokioTimer::new())
+                .keep_alive(!self.shared.is_draining())
+                // The library's timer covers the idle time before a head as well.
+                .header_read_timeout((limits.idle + limits.head).as_duration())
+                .max_buf_size(limits.head_bytes.max(8 << 10) * 2)
+                .serve_connection(TokioIo::new(stream), service)
+        );
         let served = tokio::select! {
             served = connection.as_mut() => served,
             () = draining.begun() => {
@@ -204,7 +206,7 @@
             document: document.clone(),
             ask,
         };
-        let charged = charge(&self.shared, workspace, &job)?;
+        let charged = charge(&self.shared, workspace, &job).await?;
         self.send(job, charged).await
     }
 
--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use tokio::time::sleep;
+
 use super::document::Workspace;
 use super::job::Job;
 use super::refusal::Refusal;
@@ -14,6 +16,10 @@
 /// costs more in repeats than it serves.
 const SHORTEST_RETRY: Millis = Millis(100);
 
+/// Part of its target that a request may wait for tokens: one in this many.
+/// What is left has to do for the endpoint.
+const WAIT_DIVISOR: u64 = 3;
+
 /// What was taken from a bucket. A request that certainly did not run gives it
 /// back; one that may have run has used it.
 pub struct Charge {
@@ -37,7 +43,7 @@
 }
 
 /// Charges a request, or tells when there will be room for it.
-pub fn charge(
+pub async fn charge(
     shared: &Shared,
     workspace: Option<&Workspace>,
     job: &Job,
@@ -57,11 +63,18 @@
     let Some(bucket) = shared.bucket(&workspace.name) else {
         return Ok(charge);
     };
-    if let Err(wait) = bucket.with(|b| b.charge(shared.now(), charge.tokens)) {
+    let longest = Millis(job.target.0 / WAIT_DIVISOR);
+    let now = shared.now();
+    let reserved = bucket.with(|b| b.reserve(now, charge.tokens, longest));
+    let wait = reserved.map_err(|wait| {
         let refusal = Refusal::new(Code::RateExceeded);
-        return Err(refusal.retry_after(wait.max(SHORTEST_RETRY)));
-    }
+        refusal.retry_after(wait.max(SHORTEST_RETRY))
+    })?;
     shared.metrics.count_tokens(&workspace.name, charge.tokens);
     charge.bucket = Some(bucket);
+    if wait > Millis::ZERO {
+        job.log("request.waits_for_limit", &[("wait_ms", wait.into())]);
+        sleep(wait.as_duration()).await;
+    }
     Ok(charge)
 }
--- a/src/direct/shares.rs
+++ b/src/direct/shares.rs
@@ -12,8 +12,8 @@
 use crate::bucket::WHOLE_PPM;
 use crate::clock::Millis;
 
-/// How long a larger part waits: two reports and the way between zones.
-const RAISE_DELAY: Millis = Millis(600);
+/// How long a larger part waits: a report and the way between zones.
+const RAISE_DELAY: Millis = Millis(300);
 /// Part of the limit that is divided evenly whatever callers ask for, so that a
 /// gateway whose callers come back finds room: one in this many.
 const EVEN_PART: u64 = 5;
@@ -40,6 +40,9 @@
     /// In force now, in parts per million.
     ppm: u64,
     raise: Option<Raise>,
+    /// Whether it was never set: a newcomer's bucket is empty, so that it takes
+    /// no more before the others have made room than a few requests.
+    is_new: bool,
 }
 
 /// The parts of one gateway.
@@ -93,12 +96,7 @@
             .parts
             .binary_search_by(|p| p.workspace.as_str().cmp(workspace));
         let at = at.unwrap_or_else(|at| {
-            let part = Part {
-                workspace: workspace.into(),
-                ppm: 0,
-                raise: None,
-            };
-            self.parts.insert(at, part);
+            self.parts.insert(at, Part::new(workspace));
             at
         });
         &mut self.parts[at]
@@ -106,11 +104,20 @@
 }
 
 impl Part {
+    fn new(workspace: &str) -> Self {
+        Self {
+            workspace: workspace.into(),
+            ppm: 0,
+            raise: None,
+            is_new: true,
+        }
+    }
+
     /// Moves to a wanted part: down at once, up once it stood long enough.
     fn approach(&mut self, now: Millis, wanted: u64) -> bool {
-        if wanted <= self.ppm {
+        if wanted <= self.ppm || std::mem::take(&mut self.is_new) {
             self.raise = None;
-            let has_changed = wanted < self.ppm;
+            let has_changed = wanted != self.ppm;
             self.ppm = wanted;
             return has_changed;
         }
