--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -19,10 +19,37 @@
     pub excluded: &'a [EndpointKey],
     /// Hash of the session, which draws its requests to one endpoint.
     pub affinity: Option<u64>,
+    /// How long the caller waits for an answer to begin.
+    pub patience: Millis,
+}
+
+/// Time in which a busy engine answers as many requests as it has slots: an
+/// answer of some three hundred tokens in a full batch.
+const TURNOVER: Millis = Millis(2_500);
+/// Part of the caller's patience that may pass in an engine's queue, in percent.
+const QUEUE_PERCENT: u64 = 60;
+/// Requests for each slot that a service without models may have: its calls
+/// take tens of milliseconds.
+const SERVICE_DEPTH: u32 = 5;
+
+impl Need<'_> {
+    /// Requests at an endpoint with which one more still begins in time.
+    fn capacity(&self, slots: u32) -> u32 {
+        if self.model.is_none() {
+            return slots.saturating_mul(SERVICE_DEPTH);
+        }
+        let queued = u64::from(slots) * self.patience.0 * QUEUE_PERCENT / 100 / TURNOVER.0;
+        slots.saturating_add(queued as u32)
+    }
+
+    /// Whether one more request would begin too late at an endpoint.
+    pub fn is_full(&self, candidate: &Candidate<'_>) -> bool {
+        candidate.load.requests >= self.capacity(candidate.view.registration.slots)
+    }
 }
 
 /// One endpoint that could serve a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Candidate<'a> {
     /// Its key.
     pub key: EndpointKey,
@@ -61,8 +88,8 @@
         if !serves {
             continue;
         }
-        let mut load = endpoint.load;
-        load.add(load_of(others, &registration.id));
+        let mut load = endpoint.load.clone();
+        load.add(&load_of(others, &registration.id));
         found.push(Candidate {
             key,
             view: &endpoint.view,
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -216,15 +216,15 @@
 
     fn report_status(&mut self, now: Millis, out: &mut Vec<Effect>) {
         out.push(Effect::SetOthers(self.members.loads(now)));
-        let loads = split_rows(&self.own_loads);
-        // Beyond one datagram the busiest endpoints would need a second one;
-        // an incomplete table is better than one that lags.
-        let message = Message::Status {
-            version: self.version(),
-            is_draining: self.is_draining,
-            loads: loads.into_iter().next().unwrap_or_default(),
-        };
-        out.push(Effect::Broadcast(message));
+        for (at, loads) in split_rows(&self.own_loads).into_iter().enumerate() {
+            let message = Message::Status {
+                version: self.version(),
+                is_draining: self.is_draining,
+                is_first: at == 0,
+                loads,
+            };
+            out.push(Effect::Broadcast(message));
+        }
     }
 
     /// Takes in what callers asked for since the last reading, tells the others
@@ -538,8 +538,8 @@
         let mut loads = self.members.loads(now);
         for (endpoint, load) in &self.own_loads {
             match loads.binary_search_by(|(id, _)| id.cmp(endpoint)) {
-                Ok(at) => loads[at].1.add(*load),
-                Err(at) => loads.insert(at, (endpoint.clone(), *load)),
+                Ok(at) => loads[at].1.add(load),
+                Err(at) => loads.insert(at, (endpoint.clone(), load.clone())),
             }
         }
         let mut demand = self.rates.demand();
--- a/src/direct/document.rs
+++ b/src/direct/document.rs
@@ -46,6 +46,8 @@
     pub timeout: Millis,
     /// Within which time an answer (a stream's first event) is on time.
     pub target: Millis,
+    /// The longest pause between two events of a stream that is on time.
+    pub gap: Millis,
     /// Its rank, where 0 goes first.
     pub priority: u8,
     /// Whether callers need no key.
@@ -56,7 +58,21 @@
     pub services: Vec<(CompactString, u32)>,
 }
 
+/// Callers leave a stream after a pause of this, of four times the target or of
+/// eight times the longest regular pause, whichever is longest.
+const STREAM_PATIENCE: Millis = Millis(2_000);
+
 impl Route {
+    /// How long callers wait for an answer to begin.
+    pub fn patience(&self) -> Millis {
+        if !self.kind.is_stream() {
+            return self.timeout;
+        }
+        let by_target = Millis(self.target.0 * 4);
+        let by_gap = Millis(self.gap.0 * 8);
+        STREAM_PATIENCE.max(by_target).max(by_gap).min(self.timeout)
+    }
+
     /// The service for a request; `draw` selects among several by weight.
     pub fn service(&self, draw: u64) -> Option<&CompactString> {
         let total: u64 = self.services.iter().map(|(_, w)| u64::from(*w)).sum();
--- a/src/direct/fleet.rs
+++ b/src/direct/fleet.rs
@@ -102,7 +102,7 @@
     /// What this gateway has in flight, for the other gateways.
     pub fn loads(&self) -> LoadTable {
         let busy = self.iter().filter(|(_, e)| e.load != Load::default());
-        busy.map(|(_, e)| (e.view.registration.id.clone(), e.load))
+        busy.map(|(_, e)| (e.view.registration.id.clone(), e.load.clone()))
             .collect()
     }
 }
@@ -142,7 +142,7 @@
     /// Counts a request that is about to be sent.
     pub fn start(fleet: &FleetCell, key: EndpointKey, load: Load, now: Millis) -> Self {
         if let Some(endpoint) = fleet.borrow_mut().get_mut(key) {
-            endpoint.load.add(load);
+            endpoint.load.add(&load);
             endpoint.health.sent(now);
         }
         Self {
@@ -160,11 +160,10 @@
     /// Notes that the prompt was read: the first event is here.
     pub fn began(&mut self) {
         let read = Load {
-            requests: 0,
             unread_tokens: std::mem::take(&mut self.load.unread_tokens),
-            tokens: 0,
+            ..Load::default()
         };
-        self.with(|endpoint| endpoint.load.remove(read));
+        self.with(|endpoint| endpoint.load.remove(&read));
     }
 
     /// Works on the endpoint, unless it is gone.
@@ -178,7 +177,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.with(|endpoint| {
-            endpoint.load.remove(self.load);
+            endpoint.load.remove(&self.load);
             if endpoint.load.requests == 0 {
                 endpoint.health.settled();
             }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -27,16 +27,16 @@
 const CONNECT_TIMEOUT: Millis = Millis(300);
 /// Endpoints that one request may be offered to without being run.
 const MAX_OFFERS: usize = 3;
-/// The longest wait for a model to be loaded: two loads from the weight store,
-/// one after the other.
-const MODEL_WAIT: Millis = Millis(2_500);
+/// The longest wait for a model to be loaded: one load from the weight store.
+const MODEL_WAIT: Millis = Millis(1_300);
 /// The longest wait for an endpoint of a service without models.
 const ENDPOINT_WAIT: Millis = Millis(500);
 /// When to come back where no endpoint is known: it takes an engine about this
 /// long to start or to load a model.
 const NO_ENDPOINT_RETRY: Millis = Millis(1_000);
-/// When to come back where endpoints were full.
-const BUSY_RETRY: Millis = Millis(300);
+/// When to come back where endpoints were full, at the earliest: about the time
+/// of one answer.
+const BUSY_RETRY: Millis = Millis(1_000);
 
 /// Sends requests to endpoints.
 pub struct Forwarder {
@@ -50,6 +50,14 @@
 /// The head of an answer, and its body still to be read.
 pub type Begun = Response<OpenAnswer>;
 
+enum Choice {
+    Endpoint(EndpointKey),
+    /// Every endpoint that could serve it has as many as it can begin in time.
+    AllFull,
+    /// No endpoint can serve it.
+    Nowhere,
+}
+
 enum Attempt {
     Answered(Begun),
     /// Certainly not run.
@@ -179,8 +187,13 @@
         let mut has_waited = false;
         loop {
             changed.borrow_and_update();
-            if let Some(key) = self.choose_now(job, tried) {
-                return Ok(key);
+            match self.choose_now(job, tried) {
+                Choice::Endpoint(key) => return Ok(key),
+                Choice::AllFull => {
+                    let busy = Refusal::new(Code::Busy);
+                    return Err(busy.retry_after(self.busy_retry()));
+                }
+                Choice::Nowhere => {}
             }
             if !tried.offered.is_empty() {
                 return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY));
@@ -202,7 +215,13 @@
         }
     }
 
-    fn choose_now(&self, job: &Job, tried: &Tried) -> Option<EndpointKey> {
+    /// When to come back to full engines: about when as many requests have
+    /// ended as are running, spread so that callers do not come back at once.
+    fn busy_retry(&self) -> Millis {
+        Millis(rand::random_range(BUSY_RETRY.0..=2 * BUSY_RETRY.0))
+    }
+
+    fn choose_now(&self, job: &Job, tried: &Tried) -> Choice {
         let now = self.shared.now();
         let others = self.shared.others();
         let mut fleet = self.fleet.borrow_mut();
@@ -213,9 +232,16 @@
             zone: &self.shared.settings.zone,
             excluded: &tried.offered,
             affinity: job.ask.session(),
+            patience: job.patience,
+        };
+        let mut found = candidates(now, &fleet, &others, &need);
+        if found.is_empty() {
+            return Choice::Nowhere;
+        }
+        found.retain(|c| !need.is_full(c));
+        let Some(chosen) = choose(&need, &found) else {
+            return Choice::AllFull;
         };
-        let found = candidates(now, &fleet, &others, &need);
-        let chosen = choose(&need, &found)?;
         job.log(
             "request.sent",
             &[
@@ -227,7 +253,7 @@
                 ("waited_ms", now.since(job.arrived).into()),
             ],
         );
-        Some(chosen.key)
+        Choice::Endpoint(chosen.key)
     }
 
     async fn attempt(&self, job: &Job, key: EndpointKey, last_event: Option<&str>) -> Attempt {
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -197,6 +197,7 @@
             max_endpoints: route.max_endpoints,
             arrived,
             target: route.target,
+            patience: route.patience(),
             due: arrived + patience,
             method: parts.method,
             uri: parts.uri,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -41,8 +41,8 @@
     pub model: CompactString,
     /// Requests that arrive a second, in thousandths.
     pub milli_per_s: u32,
-    /// Requests that wait or run.
-    pub open: u32,
+    /// How long a request takes from its arrival to its end, on average.
+    pub took_ms: u32,
 }
 
 /// What a gateway tells the others.
@@ -54,6 +54,9 @@
         version: u64,
         /// Whether it is stopping.
         is_draining: bool,
+        /// Whether what it has in flight begins with this message; the table
+        /// of a large fleet takes several.
+        is_first: bool,
         /// What it has in flight.
         loads: LoadTable,
     },
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -10,7 +10,7 @@
 use super::document::{Document, Kind};
 use super::request::{Ask, Forwarding};
 use super::shared::{CountedDemand, Shared};
-use super::view::Load;
+use super::view::{Load, model_hash};
 use crate::clock::Millis;
 use crate::journal::{self, Value};
 
@@ -36,6 +36,8 @@
     pub arrived: Millis,
     /// Within which time an answer is on time.
     pub target: Millis,
+    /// How long the caller waits for an answer to begin.
+    pub patience: Millis,
     /// When its time is over: the caller's patience or the route's time.
     pub due: Millis,
     /// The method.
@@ -64,10 +66,12 @@
     /// What the request takes at an endpoint.
     pub fn load(&self) -> Load {
         let (prompt, output) = self.ask.tokens.unwrap_or_default();
+        let model = self.ask.model.iter();
         Load {
             requests: 1,
             unread_tokens: prompt,
             tokens: prompt.saturating_add(output),
+            models: model.map(|m| (model_hash(&m.model), 1)).collect(),
         }
     }
 
--- a/src/direct/leader.rs
+++ b/src/direct/leader.rs
@@ -28,6 +28,11 @@
 /// that have begun, and the registration after it may lag.
 const HIDDEN_LIFETIME: Millis = Millis(10_000);
 
+/// Time between two lines about the placement.
+const STATE_INTERVAL: Millis = Millis(1_000);
+/// Models that such a line names.
+const LOGGED_MODELS: usize = 6;
+
 /// The right to give orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mandate {
@@ -82,14 +87,22 @@
     budgets: Vec<(CompactString, LoadBudget)>,
     wishes: Vec<Wish>,
     adapter_uses: Vec<AdapterUse>,
-    hidden: Vec<Hidden>,
+    hidden: Vec<ModelChange>,
+    /// When each copy that this leader ordered was ordered.
+    loaded: Vec<ModelChange>,
     announcements: u64,
+    logged_at: Millis,
     load_window: Millis,
 }
 
-/// A model that makes way at an engine.
+struct Stay {
+    age: Millis,
+    open: u32,
+}
+
+/// A change of one model at one engine.
 #[derive(Clone, Debug)]
-struct Hidden {
+struct ModelChange {
     endpoint: CompactString,
     model: CompactString,
     since: Millis,
@@ -106,7 +119,9 @@
             wishes: Vec::new(),
             adapter_uses: Vec::new(),
             hidden: Vec::new(),
+            loaded: Vec::new(),
             announcements: 0,
+            logged_at: Millis::ZERO,
             load_window,
         }
     }
@@ -178,6 +193,7 @@
             demand: &demand,
             store_loads,
         });
+        self.log_state(now, service, spec, &engines, &demand, store_loads);
         let mut duties = Vec::new();
         for step in moves {
             if step.is_from_store {
@@ -196,6 +212,54 @@
         duties
     }
 
+    /// Writes down, now and then, what the busiest models need and have.
+    fn log_state(
+        &mut self,
+        now: Millis,
+        service: &str,
+        spec: &EngineSpec,
+        engines: &[Engine],
+        demand: &[Demand],
+        store_loads: usize,
+    ) {
+        if now.since(self.logged_at) < STATE_INTERVAL {
+            return;
+        }
+        self.logged_at = now;
+        let mut rows: Vec<(f64, String)> = Vec::new();
+        for (model, demand) in spec.models.iter().zip(demand) {
+            let copies = engines.iter().filter(|e| e.is_open).flat_map(|e| &e.copies);
+            let copies = copies.filter(|c| c.model == model.name && !c.is_leaving);
+            let (settled, coming): (Vec<&Copy>, Vec<&Copy>) = copies.partition(|c| c.is_settled);
+            let row = format!(
+                "{} {:.1}/s x {:.1}s on {}+{}",
+                model.name,
+                demand.per_s,
+                demand.took_s,
+                settled.len(),
+                coming.len()
+            );
+            rows.push((demand.weight(), row));
+        }
+        rows.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let rows: Vec<String> = rows
+            .into_iter()
+            .take(LOGGED_MODELS)
+            .map(|(_, r)| r)
+            .collect();
+        journal::write(
+            "placement.state",
+            &[
+                ("service", service.into()),
+                ("fence", self.mandate.fence.into()),
+                ("busiest", (&rows.join(", ")).into()),
+                ("engines", engines.len().into()),
+                ("free", engines.iter().filter(|e| e.is_free).count().into()),
+                ("store_loads", store_loads.into()),
+            ],
+        );
+    }
+
     fn budget(
         &mut self,
         now: Millis,
@@ -219,16 +283,24 @@
         let registered = registration.models.iter().flatten();
         let mut copies: Vec<Copy> = Vec::new();
         let known = self.ledger.residents(&registration.id);
+        let load = load_of(loads, &registration.id);
+        let stay = |model: &str| Stay {
+            age: self.age_of(now, &registration.id, model),
+            open: load.of_model(model),
+        };
         for resident in registered.chain(known) {
             if copies.iter().any(|c| c.model == resident.model) {
                 continue;
             }
             let order = under_way.filter(|o| o.model == resident.model);
             let is_hidden = !endpoint.holds_model(&resident.model);
+            let stay = stay(&resident.model);
             copies.push(Copy {
                 model: resident.model.clone(),
                 is_settled: order.is_none(),
                 is_leaving: is_hidden || order.is_some_and(|o| o.operation == Operation::Unload),
+                age: stay.age,
+                open: stay.open,
             });
         }
         if let Some(order) = under_way
@@ -238,6 +310,8 @@
                 model: order.model.clone(),
                 is_settled: false,
                 is_leaving: order.operation == Operation::Unload,
+                age: Millis::ZERO,
+                open: 0,
             });
         }
         Engine {
@@ -247,7 +321,7 @@
             is_open: endpoint.usability == Usability::Open,
             copies,
             at_hand: registration.at_hand.clone(),
-            open: load_of(loads, &registration.id).requests,
+            open: load.requests,
         }
     }
 
@@ -438,15 +512,27 @@
             let is_same = h.endpoint == step.engine && h.model == step.model;
             now.since(h.since) < HIDDEN_LIFETIME && !is_same
         });
-        if !step.is_load {
-            self.hidden.push(Hidden {
-                endpoint: step.engine.clone(),
-                model: step.model.clone(),
-                since: now,
-            });
+        self.loaded
+            .retain(|l| !(l.endpoint == step.engine && l.model == step.model));
+        let change = ModelChange {
+            endpoint: step.engine.clone(),
+            model: step.model.clone(),
+            since: now,
+        };
+        match step.is_load {
+            true => self.loaded.push(change),
+            false => self.hidden.push(change),
         }
     }
 
+    /// How long a model has been at an engine; one that this leader did not
+    /// order has been there for as long as the leader knows.
+    fn age_of(&self, now: Millis, endpoint: &str, model: &str) -> Millis {
+        let mut loaded = self.loaded.iter();
+        let found = loaded.find(|l| l.endpoint == endpoint && l.model == model);
+        found.map_or(now, |l| now.since(l.since))
+    }
+
     /// What an engine holds for requests, with the number of this announcement.
     pub fn holdings_of(&mut self, endpoint: &EndpointView) -> Holdings {
         self.announcements += 1;
@@ -468,9 +554,11 @@
         .iter()
         .filter(|u| u.model == model && u.service == service)
     {
-        demand.open += f64::from(one.open);
-        demand.per_s += f64::from(one.milli_per_s) / 1_000.0;
+        let per_s = f64::from(one.milli_per_s) / 1_000.0;
+        demand.per_s += per_s;
+        demand.took_s += f64::from(one.took_ms) / 1_000.0 * per_s;
     }
+    demand.took_s /= demand.per_s.max(f64::EPSILON);
     demand
 }
 
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -117,11 +117,15 @@
             Message::Status {
                 version,
                 is_draining,
+                is_first,
                 loads,
             } => {
                 heard.version = version;
                 heard.is_draining = is_draining;
-                heard.loads = loads;
+                if is_first {
+                    heard.loads.clear();
+                }
+                heard.loads.extend(loads);
                 heard.loads_at = now;
                 None
             }
@@ -163,8 +167,8 @@
             .filter(|p| now.since(p.heard.loads_at) < LOAD_LIFETIME);
         for (endpoint, load) in fresh.flat_map(|p| &p.heard.loads) {
             match all.binary_search_by(|(id, _)| id.cmp(endpoint)) {
-                Ok(at) => all[at].1.add(*load),
-                Err(at) => all.insert(at, (endpoint.clone(), *load)),
+                Ok(at) => all[at].1.add(load),
+                Err(at) => all.insert(at, (endpoint.clone(), load.clone())),
             }
         }
         all
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -12,26 +12,30 @@
 
 /// Open requests for each copy above which a model gets another one: a batch
 /// of a few requests runs nearly as fast as one alone.
-const GROW_ABOVE: f64 = 3.0;
+const GROW_ABOVE: f64 = 2.0;
 /// A copy makes way only for a model with this many times its pressure, or two
 /// models would take turns at one place.
-const ADVANTAGE: f64 = 1.6;
-/// Weight of arrivals a second beside open requests: a model whose requests
-/// are answered at once still needs its copies.
-const ARRIVAL_WEIGHT: f64 = 0.25;
+const ADVANTAGE: f64 = 1.8;
+/// The longest time of a request that counts: beyond it requests wait, and
+/// would be counted for what the copies lack rather than for what they need.
+const LONGEST_TOOK_S: f64 = 3.0;
+/// A copy stays for at least this long, several times as long as it took to
+/// bring it.
+const MIN_STAY: Millis = Millis(4_000);
 
 /// What callers ask of one model, over all gateways.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Requests that wait or run.
-    pub open: f64,
     /// Requests that arrive a second.
     pub per_s: f64,
+    /// How long one takes, in seconds.
+    pub took_s: f64,
 }
 
 impl Demand {
-    fn weight(&self) -> f64 {
-        self.open + self.per_s * ARRIVAL_WEIGHT
+    /// Requests that are open on average (Little's law).
+    pub fn weight(&self) -> f64 {
+        self.per_s * self.took_s.min(LONGEST_TOOK_S)
     }
 }
 
@@ -44,6 +48,10 @@
     pub is_settled: bool,
     /// Whether it is being unloaded.
     pub is_leaving: bool,
+    /// How long it has been there, as far as the leader knows.
+    pub age: Millis,
+    /// Requests that run there.
+    pub open: u32,
 }
 
 /// An engine as the planner sees it.
@@ -101,7 +109,7 @@
 pub fn plan(situation: &Situation<'_>) -> Vec<Move> {
     let mut round = Round::new(situation);
     while let Some(at) = round.neediest() {
-        if !round.add_copy(at) {
+        if !round.add_copy(at) && !round.relocate_for(at) {
             round.skipped[at] = true;
         }
     }
@@ -183,59 +191,43 @@
             if is_from_store && self.store_loads == 0 {
                 return None;
             }
-            let victim = self.victim_for(at, model, engine)?;
-            let cost = self.place_cost(model, engine, victim, is_from_store);
-            Some((cost, index, victim, is_from_store))
+            let (victim, running) = self.victim_for(at, model, engine)?;
+            let mut cost = self.place_cost(model, engine, victim, is_from_store);
+            // An unload waits for what runs there.
+            cost += f64::from(running);
+            Some((cost, index, victim))
         });
         let best = places.min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, index, victim, is_from_store)) = best else {
+        let Some((_, index, victim)) = best else {
             return false;
         };
-        let engine = &mut self.engines[index];
-        engine.is_free = false;
-        let step = match victim {
-            None => {
-                self.copies[at] += 1;
-                self.store_loads -= usize::from(is_from_store);
-                engine.copies.push(Copy {
-                    model: model.name.clone(),
-                    is_settled: false,
-                    is_leaving: false,
-                });
-                (model.name.clone(), true)
-            }
-            Some(victim) => {
-                self.copies[victim] -= 1;
-                // The place is spoken for: counting it keeps this round from
-                // clearing a place for the same need again.
-                self.copies[at] += 1;
-                (spec.models[victim].name.clone(), false)
-            }
-        };
-        self.moves.push(Move {
-            engine: engine.id.clone(),
-            model: step.0,
-            is_load: step.1,
-            is_from_store: step.1 && is_from_store,
-        });
+        match victim {
+            None => self.load(at, index),
+            Some(victim) => self.unload(victim, at, index),
+        }
         true
     }
 
     /// `Some(None)` if the model fits as it is, `Some(Some(_))` with the model
     /// that would make way, `None` if it cannot be placed there.
-    fn victim_for(&self, at: usize, model: &ModelSpec, engine: &Engine) -> Option<Option<usize>> {
+    fn victim_for(
+        &self,
+        at: usize,
+        model: &ModelSpec,
+        engine: &Engine,
+    ) -> Option<(Option<usize>, u32)> {
         let free = free_mb(self.spec, engine);
         if free >= model.weight_mb {
-            return Some(None);
+            return Some((None, 0));
         }
         let newcomer = self.pressure(at, self.copies[at] + 1);
         let is_missing = self.copies[at] == 0;
-        let mut best: Option<(f64, usize)> = None;
-        for copy in engine
+        let mut best: Option<(f64, usize, u32)> = None;
+        let settled = engine
             .copies
             .iter()
-            .filter(|c| c.is_settled && !c.is_leaving)
-        {
+            .filter(|c| c.is_settled && !c.is_leaving);
+        for copy in settled.filter(|c| is_missing || c.age >= MIN_STAY) {
             let Some(victim) = self.index_of(&copy.model) else {
                 continue;
             };
@@ -248,11 +240,112 @@
             let is_worth_it = is_missing || left * ADVANTAGE < newcomer;
             // One that does not make enough room alone is taken only if it is idle.
             let is_allowed = is_worth_it && (fits || self.weight(victim) < 1.0);
-            if is_allowed && best.is_none_or(|(cost, _)| left < cost) {
-                best = Some((left, victim));
+            let cost = left + f64::from(copy.open);
+            if is_allowed && best.is_none_or(|(known, ..)| cost < known) {
+                best = Some((cost, victim, copy.open));
             }
         }
-        best.map(|(_, victim)| Some(victim))
+        best.map(|(_, victim, running)| (Some(victim), running))
+    }
+
+    /// Brings a second copy of a model elsewhere, so that its only copy can make
+    /// way for a model that needs the room more; false if that gains nothing.
+    fn relocate_for(&mut self, at: usize) -> bool {
+        let spec = self.spec;
+        let Some(model) = spec.models.get(at) else {
+            return false;
+        };
+        if self.store_loads == 0 {
+            return false;
+        }
+        let newcomer = self.pressure(at, self.copies[at] + 1);
+        let mut best: Option<(f64, usize, usize)> = None;
+        for (from, engine) in self.engines.iter().enumerate() {
+            if !engine.is_free || !engine.is_open || engine.holds(&model.name) {
+                continue;
+            }
+            let free = free_mb(spec, engine);
+            let settled = engine
+                .copies
+                .iter()
+                .filter(|c| c.is_settled && !c.is_leaving);
+            for copy in settled {
+                let Some(single) = self.index_of(&copy.model) else {
+                    continue;
+                };
+                let fits = free + spec.models[single].weight_mb >= model.weight_mb;
+                let is_worth_it = self.weight(single) * ADVANTAGE < newcomer;
+                if self.copies[single] != 1 || !fits || !is_worth_it {
+                    continue;
+                }
+                let Some(to) = self.tightest_place(single, from) else {
+                    continue;
+                };
+                let cost = f64::from(copy.open) + self.weight(single);
+                if best.is_none_or(|(known, ..)| cost < known) {
+                    best = Some((cost, single, to));
+                }
+            }
+        }
+        let Some((_, single, to)) = best else {
+            return false;
+        };
+        self.load(single, to);
+        // The room is there in a later round.
+        self.skipped[at] = true;
+        true
+    }
+
+    /// The engine that has just enough room for a model.
+    fn tightest_place(&self, at: usize, except: usize) -> Option<usize> {
+        let model = &self.spec.models[at];
+        let places = self.engines.iter().enumerate();
+        let places = places.filter(|(index, e)| {
+            *index != except && e.is_free && e.is_open && !e.holds(&model.name)
+        });
+        let places = places.map(|(index, e)| (free_mb(self.spec, e), index));
+        let places = places.filter(|(free, _)| *free >= model.weight_mb);
+        let best = places.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, index)| index)
+    }
+
+    /// Begins to load a model at an engine.
+    fn load(&mut self, at: usize, index: usize) {
+        let model = &self.spec.models[at];
+        let engine = &mut self.engines[index];
+        let is_from_store = !engine.at_hand.contains(&model.name);
+        self.copies[at] += 1;
+        self.store_loads -= usize::from(is_from_store).min(self.store_loads);
+        engine.is_free = false;
+        engine.copies.push(Copy {
+            model: model.name.clone(),
+            is_settled: false,
+            is_leaving: false,
+            age: Millis::ZERO,
+            open: 0,
+        });
+        self.moves.push(Move {
+            engine: engine.id.clone(),
+            model: model.name.clone(),
+            is_load: true,
+            is_from_store,
+        });
+    }
+
+    /// Begins to unload a model at an engine, to make room for another one.
+    fn unload(&mut self, victim: usize, for_model: usize, index: usize) {
+        let engine = &mut self.engines[index];
+        engine.is_free = false;
+        self.copies[victim] -= 1;
+        // The place is spoken for: counting it keeps this round from clearing
+        // a place for the same need again.
+        self.copies[for_model] += 1;
+        self.moves.push(Move {
+            engine: engine.id.clone(),
+            model: self.spec.models[victim].name.clone(),
+            is_load: false,
+            is_from_store: false,
+        });
     }
 
     fn place_cost(
--- a/src/direct/rates.rs
+++ b/src/direct/rates.rs
@@ -8,10 +8,16 @@
 /// readings a second.
 const WEIGHT: f64 = 0.25;
 
+/// Ended requests that weigh as much as all earlier ones in the average time.
+const STEADY_ENDS: f64 = 10.0;
+/// Time of a request before one has ended: a common answer of fifty events.
+const DEFAULT_TOOK_MS: f64 = 1_000.0;
+
 #[derive(Clone, Debug)]
 struct ModelRate {
     one: ModelUse,
     per_s: f64,
+    took_ms: f64,
 }
 
 /// What callers ask for, a second.
@@ -36,7 +42,6 @@
         });
         self.limits = limits.collect();
         for model in &mut self.models {
-            model.one.open = 0;
             model.per_s *= 1.0 - WEIGHT;
         }
         for newest in &local.demand {
@@ -45,27 +50,35 @@
                 .iter_mut()
                 .find(|m| m.one.model == newest.model && m.one.service == newest.service);
             let per_s = f64::from(newest.arrived) / span_s * WEIGHT;
+            let ended = f64::from(newest.ended);
+            let took_ms = newest.took.0 as f64 / ended.max(1.0);
             match known {
                 Some(model) => {
-                    model.one.open = newest.open;
                     model.per_s += per_s;
+                    let weight = ended / (ended + STEADY_ENDS);
+                    model.took_ms += (took_ms - model.took_ms) * weight;
                 }
                 None => self.models.push(ModelRate {
                     one: ModelUse {
                         service: newest.service.clone(),
                         model: newest.model.clone(),
                         milli_per_s: 0,
-                        open: newest.open,
+                        took_ms: 0,
                     },
                     per_s,
+                    took_ms: if newest.ended > 0 {
+                        took_ms
+                    } else {
+                        DEFAULT_TOOK_MS
+                    },
                 }),
             }
         }
         for model in &mut self.models {
             model.one.milli_per_s = (model.per_s * 1_000.0) as u32;
+            model.one.took_ms = model.took_ms as u32;
         }
-        self.models
-            .retain(|m| m.one.milli_per_s > 0 || m.one.open > 0);
+        self.models.retain(|m| m.one.milli_per_s > 0);
     }
 
     /// Use of the workspaces' limits, by ascending workspace.
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -28,6 +28,10 @@
     pub arrived: u32,
     /// Requests that wait or run.
     pub open: u32,
+    /// Requests that ended since the last reading, and the time they took.
+    pub ended: u32,
+    /// The time that these took together.
+    pub took: Millis,
 }
 
 /// What both threads know.
@@ -152,6 +156,8 @@
                 model: wanted.model.clone(),
                 arrived: 0,
                 open: 0,
+                ended: 0,
+                took: Millis::ZERO,
             };
             demand.insert(at, fresh);
             at
@@ -162,6 +168,7 @@
             shared: self.clone(),
             service: service.into(),
             model: wanted.model.clone(),
+            since: self.now(),
         }
     }
 
@@ -172,6 +179,8 @@
         demand.retain(|d| d.open > 0);
         for one in demand.iter_mut() {
             one.arrived = 0;
+            one.ended = 0;
+            one.took = Millis::ZERO;
         }
         read
     }
@@ -251,6 +260,7 @@
     shared: Arc<Shared>,
     service: CompactString,
     model: CompactString,
+    since: Millis,
 }
 
 impl Drop for CountedDemand {
@@ -261,6 +271,8 @@
             .find(|d| d.model == self.model && d.service == self.service);
         if let Some(known) = known {
             known.open = known.open.saturating_sub(1);
+            known.ended += 1;
+            known.took = known.took + self.shared.now().since(self.since);
         }
     }
 }
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -57,7 +57,7 @@
 }
 
 /// What one gateway has in flight at an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests without an end of their answers.
     pub requests: u32,
@@ -65,21 +65,47 @@
     pub unread_tokens: u32,
     /// Memory of all requests at their full length, in tokens.
     pub tokens: u32,
+    /// Requests by model, named by a hash to keep messages small.
+    pub models: Vec<(u32, u32)>,
+}
+
+/// The name of a model in a [`Load`].
+pub fn model_hash(model: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(model.as_bytes()) as u32
 }
 
 impl Load {
     /// Adds another gateway's load.
-    pub fn add(&mut self, other: Self) {
+    pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.unread_tokens += other.unread_tokens;
         self.tokens += other.tokens;
+        for (model, requests) in &other.models {
+            match self.models.iter_mut().find(|(m, _)| m == model) {
+                Some((_, known)) => *known += requests,
+                None => self.models.push((*model, *requests)),
+            }
+        }
     }
 
     /// Takes a load away.
-    pub fn remove(&mut self, other: Self) {
+    pub fn remove(&mut self, other: &Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
         self.tokens = self.tokens.saturating_sub(other.tokens);
+        for (model, requests) in &other.models {
+            if let Some((_, known)) = self.models.iter_mut().find(|(m, _)| m == model) {
+                *known = known.saturating_sub(*requests);
+            }
+        }
+        self.models.retain(|(_, requests)| *requests > 0);
+    }
+
+    /// Requests for one model.
+    pub fn of_model(&self, model: &str) -> u32 {
+        let hash = model_hash(model);
+        let found = self.models.iter().find(|(m, _)| *m == hash);
+        found.map_or(0, |(_, requests)| *requests)
     }
 }
 
@@ -89,5 +115,5 @@
 /// The load of an endpoint in a table; nothing if it is not there.
 pub fn load_of(table: &LoadTable, endpoint: &str) -> Load {
     let at = table.binary_search_by(|(id, _)| id.as_str().cmp(endpoint));
-    at.map_or(Load::default(), |at| table[at].1)
+    at.map_or_else(|_| Load::default(), |at| table[at].1.clone())
 }
