--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -100,12 +100,14 @@
         self.add(i128::from(tokens) * MICROS);
     }
 
-    /// Changes the workspace's rate and burst.
-    pub fn set_limits(&mut self, now: Millis, rate: u64, burst: u64) {
+    /// Changes the workspace's rate and burst; returns whether they were others.
+    pub fn set_limits(&mut self, now: Millis, rate: u64, burst: u64) -> bool {
         self.accrue(now);
+        let has_changed = self.rate != rate || self.burst != burst;
         self.rate = rate;
         self.burst = burst;
         self.clip();
+        has_changed
     }
 
     /// Changes the share; a smaller one loses the tokens above its burst.
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -266,9 +266,10 @@
             })
             .collect();
         let is_isolated = now >= self.lease_until && !self.members.hears_any(now);
-        let others = self.members.uses();
+        let others = self.members.uses(now);
         let own = MemberUse {
             uses: Some(self.rates.limits().to_vec()),
+            is_fresh: true,
         };
         let changed = self.shares.divide(now, &limits, &own, &others, is_isolated);
         if !changed.is_empty() {
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -11,7 +11,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::control::{Control, Effect, Event, LocalUse};
-use super::document::Document;
+use super::document::{Document, Workspace};
 use super::duties::Duties;
 use super::ledger::Step;
 use super::shared::Shared;
@@ -20,6 +20,7 @@
 use crate::bucket::{Bucket, BucketCell};
 use crate::clock::Millis;
 use crate::error::{Error, Result};
+use crate::journal;
 
 /// Time between two looks at what is due.
 const TICK: Millis = Millis(50);
@@ -140,9 +141,14 @@
         let buckets = limited.map(|workspace| {
             let known = old.binary_search_by(|b| b.workspace.cmp(&workspace.name));
             if let Ok(at) = known {
-                old[at].with(|b| b.set_limits(now, workspace.rate, workspace.burst));
+                let has_changed =
+                    old[at].with(|b| b.set_limits(now, workspace.rate, workspace.burst));
+                if has_changed {
+                    log_limit(workspace, document.version);
+                }
                 return old[at].clone();
             }
+            log_limit(workspace, document.version);
             let mut bucket = Bucket::new(now, workspace.rate, workspace.burst);
             let part = control.parts().find(|(name, _)| **name == workspace.name);
             bucket.set_share(now, part.map_or(0, |(_, ppm)| ppm));
@@ -153,6 +159,18 @@
     }
 }
 
+fn log_limit(workspace: &Workspace, version: u64) {
+    journal::write(
+        "limit.changed",
+        &[
+            ("workspace", (&workspace.name).into()),
+            ("rate", workspace.rate.into()),
+            ("burst", workspace.burst.into()),
+            ("version", version.into()),
+        ],
+    );
+}
+
 /// Tells control that time passes, and what callers ask for meanwhile.
 async fn tick(shared: Arc<Shared>, events: UnboundedSender<Event>) {
     let mut ticks = interval(TICK.as_duration());
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -175,9 +175,10 @@
     }
 
     /// What the other gateways' callers ask of the limits.
-    pub fn uses(&self) -> Vec<MemberUse> {
+    pub fn uses(&self, now: Millis) -> Vec<MemberUse> {
         let uses = self.peers.iter().map(|p| MemberUse {
             uses: p.heard.limits.clone(),
+            is_fresh: now.since(p.heard.at) < HEARD_LIFETIME,
         });
         uses.collect()
     }
--- a/src/direct/rates.rs
+++ b/src/direct/rates.rs
@@ -4,9 +4,12 @@
 use super::gossip::{ModelUse, WorkspaceUse};
 use crate::clock::Millis;
 
-/// Weight of the newest reading, for a memory of about a second at four
-/// readings a second.
+/// Weight of the newest reading of a model's arrivals, for a memory of about a
+/// second at four readings a second.
 const WEIGHT: f64 = 0.25;
+/// Weight of the newest reading of a limit's use, for a memory of three seconds:
+/// one request may ask for as many tokens as a second's part.
+const LIMIT_WEIGHT: f64 = 0.08;
 
 /// Ended requests that weigh as much as all earlier ones in the average time.
 const STEADY_ENDS: f64 = 10.0;
@@ -37,7 +40,7 @@
             let newest = *tokens as f64 / span_s;
             WorkspaceUse {
                 workspace: workspace.clone(),
-                asked_per_s: (before * (1.0 - WEIGHT) + newest * WEIGHT) as u64,
+                asked_per_s: (before * (1.0 - LIMIT_WEIGHT) + newest * LIMIT_WEIGHT) as u64,
             }
         });
         self.limits = limits.collect();
--- a/src/direct/shares.rs
+++ b/src/direct/shares.rs
@@ -14,18 +14,24 @@
 
 /// How long a larger part waits: a report and the way between zones.
 const RAISE_DELAY: Millis = Millis(300);
+/// A raise up to this is taken at once, in parts per million: it comes with the
+/// others' small cuts that they learn of in the same moment, and waiting for
+/// each would keep the sum below the whole.
+const SMALL_RAISE: u64 = 20_000;
 /// Part of the limit that is divided evenly whatever callers ask for, so that a
 /// gateway whose callers come back finds room: one in this many.
 const EVEN_PART: u64 = 5;
-/// A gateway that hears neither the store nor a peer halves its parts: the
-/// others release them when its registration ends.
-const ISOLATED_DIVISOR: u64 = 2;
+/// A gateway that hears neither the store nor a peer keeps one in this many of
+/// its parts: the others release them when its registration ends.
+const ISOLATED_DIVISOR: u64 = 4;
 
 /// What one member asks for.
 #[derive(Clone, Debug, Default)]
 pub struct MemberUse {
     /// Uses in ascending order of workspace; `None` before the first report.
     pub uses: Option<Vec<WorkspaceUse>>,
+    /// Whether the report is recent.
+    pub is_fresh: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -72,13 +78,17 @@
     ) -> Vec<(CompactString, u64)> {
         self.parts
             .retain(|p| limits.iter().any(|l| l.workspace == p.workspace));
+        let hears_all = others.iter().all(|one| one.is_fresh);
         let mut changed = Vec::new();
         for limit in limits {
             let mut wanted = part_of(limit, own, others);
+            let part = self.part_mut(&limit.workspace);
             if is_isolated {
                 wanted /= ISOLATED_DIVISOR;
             }
-            let part = self.part_mut(&limit.workspace);
+            if !hears_all && !part.is_new {
+                wanted = wanted.min(part.ppm);
+            }
             if part.approach(now, wanted) {
                 changed.push((part.workspace.clone(), part.ppm));
             }
@@ -115,7 +125,8 @@
 
     /// Moves to a wanted part: down at once, up once it stood long enough.
     fn approach(&mut self, now: Millis, wanted: u64) -> bool {
-        if wanted <= self.ppm || std::mem::take(&mut self.is_new) {
+        let is_small = wanted.saturating_sub(self.ppm) <= SMALL_RAISE;
+        if is_small || std::mem::take(&mut self.is_new) {
             self.raise = None;
             let has_changed = wanted != self.ppm;
             self.ppm = wanted;
