--- a/src/direct.rs
+++ b/src/direct.rs
@@ -66,6 +66,8 @@
 /// How long a stopping gateway goes on accepting: the balancer asks each second
 /// and takes a process out after two misses.
 const ANNOUNCE: Millis = Millis(2_500);
+/// Time for the end of the lease to reach the store.
+const FAREWELL: Millis = Millis(20);
 /// Time before the end of the grace period at which a stopping gateway ends.
 const EXIT_MARGIN: Millis = Millis(400);
 /// Time between two looks at whether a stopping gateway is done.
@@ -125,6 +127,8 @@
     stop.recv().await;
     drain(&shared).await;
     accepting.abort();
+    shared.tell(control::Event::Stop);
+    sleep(FAREWELL.as_duration()).await;
     Ok(())
 }
 
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -62,8 +62,9 @@
 }
 
 /// Work that a request within the zone saves, in requests in flight: crossing
-/// zones costs two milliseconds and the bytes.
-const ZONE_BONUS: f32 = 0.5;
+/// zones costs milliseconds and the bytes, while one more request of a batch
+/// lengthens a step by less than a thousandth.
+const ZONE_BONUS: f32 = 5.0;
 /// Work that a session saves at the endpoint that read its prompt before.
 const AFFINITY_BONUS: f32 = 3.0;
 /// Prompt tokens that delay a newcomer as much as one running request: one
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -10,7 +10,7 @@
 use super::document::Document;
 use super::gossip::{Message, split_rows};
 use super::leader::{Duty, Leader, Mandate, Scene};
-use super::members::Members;
+use super::members::{Member, Members};
 use super::rates::Rates;
 use super::request::ModelRef;
 use super::settings::Settings;
@@ -32,6 +32,8 @@
 const BEHIND_TOLERANCE: Millis = Millis(200);
 /// Time between two requests to peers for their configuration.
 const PULL_INTERVAL: Millis = Millis(400);
+/// Time between two lines about the parts of the limits.
+const PARTS_LINE_INTERVAL: Millis = Millis(1_000);
 /// Pause between two attempts to become leader, and for each place behind the
 /// first gateway: a round trip to the store with room.
 const CLAIM_PAUSE: Millis = Millis(100);
@@ -68,6 +70,7 @@
     duties: Millis,
     pull: Millis,
     claim: Millis,
+    parts_line: Millis,
 }
 
 impl Control {
@@ -156,9 +159,14 @@
             }
             Event::StoreLost => self.store_lost(),
             Event::StoreHeard => self.store_heard(now),
-            Event::Members(members) => self.members.replace(members),
-            Event::MemberPut(member) => self.members.put(member),
-            Event::MemberRemoved(name) => self.members.remove(&name),
+            Event::Members(members) => {
+                for name in self.members.missing(&members) {
+                    self.member_left(now, &name);
+                }
+                members.into_iter().for_each(|m| self.member_joined(m));
+            }
+            Event::MemberPut(member) => self.member_joined(member),
+            Event::MemberRemoved(name) => self.member_left(now, &name),
             Event::LeaderKey(record) => self.leader_key(now, record),
             Event::LeaseHeld(until) => self.lease_until = self.lease_until.max(until),
             Event::LeaseLost => self.resign("lease lost"),
@@ -191,6 +199,7 @@
                 self.resign("draining");
                 out.push(Effect::Resign);
             }
+            Event::Stop => out.push(Effect::EndLease),
         }
         out
     }
@@ -206,6 +215,14 @@
             self.due.status = now + Millis(STATUS_INTERVAL.0 * fleet.div_ceil(STATUS_FLEET));
             self.report_status(now, out);
         }
+        for (peer, is_heard) in self.members.take_changes(now) {
+            let event = if is_heard {
+                "peer.heard"
+            } else {
+                "peer.silent"
+            };
+            journal::write(event, &[("peer", (&peer).into())]);
+        }
         self.catch_up(now, out);
         self.campaign(now, out);
         if now >= self.due.duties {
@@ -258,25 +275,60 @@
             // Not registered yet: the others do not leave anything free.
             return;
         }
-        let limited = document.workspaces.iter().filter(|w| w.rate > 0);
-        let limits: Vec<Limit> = limited
-            .map(|w| Limit {
-                workspace: w.name.clone(),
-                rate: w.rate,
-            })
-            .collect();
-        let is_isolated = now >= self.lease_until && !self.members.hears_any(now);
+        let limits = limits_of(document);
+        let is_cut_off = now >= self.lease_until && !self.members.hears_most(now);
         let others = self.members.uses(now);
         let own = MemberUse {
             uses: Some(self.rates.limits().to_vec()),
             is_fresh: true,
         };
-        let changed = self.shares.divide(now, &limits, &own, &others, is_isolated);
+        let changed = self.shares.divide(now, &limits, &own, &others, is_cut_off);
         if !changed.is_empty() {
+            self.log_parts(now, others.len(), is_cut_off);
             out.push(Effect::SetParts(changed));
         }
     }
 
+    fn log_parts(&mut self, now: Millis, others: usize, is_cut_off: bool) {
+        if now < self.due.parts_line {
+            return;
+        }
+        self.due.parts_line = now + PARTS_LINE_INTERVAL;
+        let parts = self
+            .shares
+            .parts()
+            .map(|(name, ppm)| format!("{name} {ppm}"));
+        let parts: Vec<String> = parts.collect();
+        journal::write(
+            "limit.parts",
+            &[
+                ("ppm", (&parts.join(", ")).into()),
+                ("others", others.into()),
+                ("cut_off", is_cut_off.into()),
+            ],
+        );
+    }
+
+    fn member_joined(&mut self, member: Member) {
+        self.shares.member_returned(&member.name);
+        self.members.put(member);
+    }
+
+    fn member_left(&mut self, now: Millis, name: &str) {
+        let its = self.members.remove(name);
+        let (Some(its), Some(document)) = (its, &self.document) else {
+            return;
+        };
+        let mut rest = self.members.uses(now);
+        rest.push(MemberUse {
+            uses: Some(self.rates.limits().to_vec()),
+            is_fresh: true,
+        });
+        let limits = limits_of(document);
+        self.shares
+            .member_left(now, name.into(), &limits, &its, &rest);
+    }
+
     /// Takes a newer version; an older one is never taken back.
     fn configure(&mut self, now: Millis, document: Arc<Document>, out: &mut Vec<Effect>) {
         if self.document.is_some() && self.version() >= document.version {
@@ -557,3 +609,13 @@
         ))
     }
 }
+
+/// The limits that are divided.
+fn limits_of(document: &Document) -> Vec<Limit> {
+    let limited = document.workspaces.iter().filter(|w| w.rate > 0);
+    let limits = limited.map(|w| Limit {
+        workspace: w.name.clone(),
+        rate: w.rate,
+    });
+    limits.collect()
+}
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -110,6 +110,8 @@
     Ready(Holdings),
     /// The process is told to stop.
     Drain,
+    /// The process is about to end.
+    Stop,
 }
 
 /// Something that is to be done.
@@ -140,6 +142,8 @@
     },
     /// Leave the leader's key to others.
     Resign,
+    /// End this gateway's lease.
+    EndLease,
     /// Send an order or read a report, if the mandate still holds then.
     Step(Step),
     /// Tell all gateways what an engine holds once the adapter is there.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -96,6 +96,10 @@
             Effect::Resign => {
                 spawn_local(duties.clone().resign());
             }
+            Effect::EndLease => {
+                let duties = duties.clone();
+                spawn_local(async move { duties.end_lease().await });
+            }
             Effect::Step(step) => self.step(control, duties, step),
             Effect::AnnounceSoon(holdings) => {
                 let events = self.events.clone();
--- a/src/direct/duties.rs
+++ b/src/direct/duties.rs
@@ -79,7 +79,10 @@
                 Ok(lease) => {
                     self.lease.set(Some(lease));
                     self.renew(lease).await;
-                    self.lease.set(None);
+                    if self.lease.take().is_none() {
+                        // Ended on purpose: the process is about to end.
+                        return;
+                    }
                     self.tell(Event::LeaseLost);
                 }
                 Err(error) => {
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -34,6 +34,12 @@
 /// When to come back to a gateway that knows no configuration yet: it reads
 /// the first one within a few round trips to the store.
 const NO_CONFIGURATION_RETRY: Millis = Millis(300);
+/// Time after the start of a drain from which requests are refused: the
+/// balancer has taken the process out by then, and what still comes might not
+/// end before the process does.
+const LATE_IN_DRAIN: Millis = Millis(2_800);
+/// When to come back after such a refusal: at once, to another gateway.
+const DRAINING_RETRY: Millis = Millis(50);
 /// How long a body may take to arrive where the caller's patience is not known.
 const BODY_TIMEOUT: Millis = Millis(10_000);
 /// Pause after the system refused to accept a connection (out of descriptors).
@@ -175,6 +181,10 @@
             let stale = Refusal::new(Code::ConfigurationStale);
             return Err(stale.retry_after(NO_CONFIGURATION_RETRY));
         };
+        if self.shared.draining_for() > LATE_IN_DRAIN {
+            let stopping = Refusal::new(Code::Draining);
+            return Err(stopping.retry_after(DRAINING_RETRY));
+        }
         if ask.id.is_empty() {
             return Err(Refusal::new(Code::NoRequestId));
         }
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -44,6 +44,7 @@
 struct Peer {
     member: Member,
     heard: Heard,
+    was_heard: bool,
 }
 
 /// All other gateways that are registered.
@@ -62,13 +63,13 @@
         }
     }
 
-    /// Takes in all registered gateways.
-    pub fn replace(&mut self, all: Vec<Member>) {
-        self.peers
-            .retain(|p| all.iter().any(|m| m.name == p.member.name));
-        for member in all {
-            self.put(member);
-        }
+    /// Names of the gateways that are not among those registered now.
+    pub fn missing(&self, all: &[Member]) -> Vec<CompactString> {
+        let names = self.peers.iter().map(|p| &p.member.name);
+        names
+            .filter(|name| !all.iter().any(|m| m.name == **name))
+            .cloned()
+            .collect()
     }
 
     /// Takes in one gateway. What a former start of it said does not count.
@@ -85,17 +86,25 @@
                 self.peers[at].member = member;
             }
             Err(at) => {
-                let heard = Heard::default();
-                self.peers.insert(at, Peer { member, heard });
+                let peer = Peer {
+                    member,
+                    heard: Heard::default(),
+                    was_heard: false,
+                };
+                self.peers.insert(at, peer);
             }
         }
     }
 
-    /// Takes in that a gateway is not registered any more.
-    pub fn remove(&mut self, name: &str) {
-        if let Ok(at) = self.find(name) {
-            self.peers.remove(at);
-        }
+    /// Takes in that a gateway is not registered any more; returns what it asked
+    /// for, unless it was stopping.
+    pub fn remove(&mut self, name: &str) -> Option<MemberUse> {
+        let at = self.find(name).ok()?;
+        let peer = self.peers.remove(at);
+        (!peer.heard.is_draining).then_some(MemberUse {
+            uses: peer.heard.limits,
+            is_fresh: false,
+        })
     }
 
     /// Takes in a datagram; returns what it says unless it is old or from a
@@ -152,10 +161,24 @@
         self.peers.len() + 1
     }
 
-    /// Whether any other gateway was heard lately, or there is none.
-    pub fn hears_any(&self, now: Millis) -> bool {
-        let is_fresh = |p: &Peer| now.since(p.heard.at) < HEARD_LIFETIME && p.heard.boot != 0;
-        self.peers.is_empty() || self.peers.iter().any(is_fresh)
+    /// Whether this gateway and those heard lately are most of the registered.
+    pub fn hears_most(&self, now: Millis) -> bool {
+        let is_fresh = |p: &&Peer| now.since(p.heard.at) < HEARD_LIFETIME && p.heard.boot != 0;
+        let heard = self.peers.iter().filter(is_fresh).count() + 1;
+        heard * 2 > self.count()
+    }
+
+    /// Gateways that fell silent or were heard again since the last look, with
+    /// whether they are heard.
+    pub fn take_changes(&mut self, now: Millis) -> Vec<(CompactString, bool)> {
+        let mut changes = Vec::new();
+        for peer in &mut self.peers {
+            let is_heard = peer.heard.boot != 0 && now.since(peer.heard.at) < HEARD_LIFETIME;
+            if std::mem::replace(&mut peer.was_heard, is_heard) != is_heard {
+                changes.push((peer.member.name.clone(), is_heard));
+            }
+        }
+        changes
     }
 
     /// What the other gateways have in flight, in ascending order of endpoint.
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -52,6 +52,7 @@
     demand: Mutex<Vec<ModelDemand>>,
     events: mpsc::UnboundedSender<Event>,
     draining: watch::Sender<bool>,
+    draining_since: AtomicU64,
     open_requests: AtomicU64,
     gateways: AtomicUsize,
     connections: AtomicU32,
@@ -79,6 +80,7 @@
             demand: Mutex::default(),
             events,
             draining: watch::Sender::new(false),
+            draining_since: AtomicU64::new(u64::MAX),
             open_requests: AtomicU64::new(0),
             gateways: AtomicUsize::new(1),
             connections: AtomicU32::new(0),
@@ -198,9 +200,16 @@
 
     /// Notes that the process is stopping.
     pub fn set_draining(&self) {
+        self.draining_since.store(self.now().0, Ordering::Release);
         self.draining.send_replace(true);
     }
 
+    /// How long the process has been stopping; zero while it is not.
+    pub fn draining_for(&self) -> Millis {
+        self.now()
+            .since(Millis(self.draining_since.load(Ordering::Acquire)))
+    }
+
     /// Tells when the process begins to stop.
     pub fn drain_signal(&self) -> DrainSignal {
         DrainSignal(self.draining.subscribe())
--- a/src/direct/shares.rs
+++ b/src/direct/shares.rs
@@ -3,8 +3,12 @@
 //! Every gateway works out the same division from the same numbers: what each
 //! member reported that its callers ask for. A part that shrinks is taken away
 //! at once, one that grows is used only after the others have certainly heard
-//! of it. Members that fall silent keep their part until their registration
-//! ends, by which time they have stopped using it themselves.
+//! of it. Nobody's part grows while a registered member is silent, since that
+//! one may see the same rise and count it for itself.
+//!
+//! A member whose registration ended may run on unreached. It keeps half of the
+//! part that it had; the others divide the rest. A gateway that cannot renew its
+//! registration and hears only a minority halves its parts for that reason.
 
 use compact_str::CompactString;
 
@@ -21,9 +25,11 @@
 /// Part of the limit that is divided evenly whatever callers ask for, so that a
 /// gateway whose callers come back finds room: one in this many.
 const EVEN_PART: u64 = 5;
-/// A gateway that hears neither the store nor a peer keeps one in this many of
-/// its parts: the others release them when its registration ends.
-const ISOLATED_DIVISOR: u64 = 4;
+/// What a member that is cut off keeps of its parts: one in this many.
+const CUT_OFF_DIVISOR: u64 = 2;
+/// How long parts are kept for a former member: longer than the outages that
+/// keep it from registering again.
+const FORMER_LIFETIME: Millis = Millis(15_000);
 
 /// What one member asks for.
 #[derive(Clone, Debug, Default)]
@@ -45,16 +51,28 @@
     workspace: CompactString,
     /// In force now, in parts per million.
     ppm: u64,
+    /// The same before a cut-off gateway gives up half of it.
+    whole_ppm: u64,
     raise: Option<Raise>,
     /// Whether it was never set: a newcomer's bucket is empty, so that it takes
     /// no more before the others have made room than a few requests.
     is_new: bool,
 }
 
+/// Parts that are kept for a member whose registration ended.
+#[derive(Clone, Debug)]
+struct Former {
+    member: CompactString,
+    since: Millis,
+    /// Parts in parts per million, by workspace.
+    parts: Vec<(CompactString, u64)>,
+}
+
 /// The parts of one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     parts: Vec<Part>,
+    former: Vec<Former>,
 }
 
 /// A workspace's limit, as far as the division needs it.
@@ -74,20 +92,23 @@
         limits: &[Limit],
         own: &MemberUse,
         others: &[MemberUse],
-        is_isolated: bool,
+        is_cut_off: bool,
     ) -> Vec<(CompactString, u64)> {
         self.parts
             .retain(|p| limits.iter().any(|l| l.workspace == p.workspace));
+        self.former.retain(|f| now.since(f.since) < FORMER_LIFETIME);
         let hears_all = others.iter().all(|one| one.is_fresh);
         let mut changed = Vec::new();
         for limit in limits {
-            let mut wanted = part_of(limit, own, others);
+            let free = WHOLE_PPM.saturating_sub(self.kept_for_former(&limit.workspace));
+            let mut wanted = part_of(limit, own, others) * free / WHOLE_PPM;
             let part = self.part_mut(&limit.workspace);
-            if is_isolated {
-                wanted /= ISOLATED_DIVISOR;
-            }
             if !hears_all && !part.is_new {
-                wanted = wanted.min(part.ppm);
+                wanted = wanted.min(part.whole_ppm);
+            }
+            part.whole_ppm = wanted;
+            if is_cut_off {
+                wanted /= CUT_OFF_DIVISOR;
             }
             if part.approach(now, wanted) {
                 changed.push((part.workspace.clone(), part.ppm));
@@ -96,6 +117,41 @@
         changed
     }
 
+    /// Keeps half of the parts of a member whose registration ended.
+    pub fn member_left(
+        &mut self,
+        now: Millis,
+        member: CompactString,
+        limits: &[Limit],
+        its: &MemberUse,
+        rest: &[MemberUse],
+    ) {
+        let parts = limits.iter().map(|limit| {
+            let part = part_of(limit, its, rest) / CUT_OFF_DIVISOR;
+            (limit.workspace.clone(), part)
+        });
+        let parts = parts.collect();
+        self.member_returned(&member);
+        self.former.push(Former {
+            member,
+            since: now,
+            parts,
+        });
+    }
+
+    /// Releases what was kept for a member that is registered again.
+    pub fn member_returned(&mut self, member: &str) {
+        self.former.retain(|f| f.member != member);
+    }
+
+    fn kept_for_former(&self, workspace: &str) -> u64 {
+        let parts = self.former.iter().flat_map(|f| &f.parts);
+        parts
+            .filter(|(w, _)| w == workspace)
+            .map(|(_, ppm)| ppm)
+            .sum()
+    }
+
     /// The parts in force, in parts per million.
     pub fn parts(&self) -> impl Iterator<Item = (&CompactString, u64)> {
         self.parts.iter().map(|p| (&p.workspace, p.ppm))
@@ -118,6 +174,7 @@
         Self {
             workspace: workspace.into(),
             ppm: 0,
+            whole_ppm: 0,
             raise: None,
             is_new: true,
         }
