--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -250,10 +250,28 @@
         let span = now.since(std::mem::replace(&mut self.used_at, now));
         self.rates.note(span, local);
         self.report_use(out);
+        self.adapters_used(now, &local.adapters, out);
         self.divide_limits(now, out);
         out.push(Effect::SetGateways(self.members.count()));
     }
 
+    /// Tells the leader which adapters are in use.
+    fn adapters_used(&mut self, now: Millis, used: &[u32], out: &mut Vec<Effect>) {
+        if used.is_empty() {
+            return;
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.adapters_used(now, used);
+        } else if let Some(address) = self.leader_address() {
+            out.push(Effect::Send(address, Message::Adapters(used.to_vec())));
+        }
+    }
+
+    fn leader_address(&self) -> Option<std::net::SocketAddr> {
+        let holder = &self.record.as_ref()?.holder;
+        self.members.address_of(holder)
+    }
+
     fn report_use(&self, out: &mut Vec<Effect>) {
         // A table that is cut in two would replace itself: the sixteen
         // workspaces and some hundred models of today fit one datagram each.
@@ -413,6 +431,11 @@
                     out.push(Effect::Publish);
                 }
             }
+            Message::Adapters(used) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.adapters_used(now, &used);
+                }
+            }
             Message::Status { .. } | Message::Limits(_) | Message::Demand(_) => {}
         }
     }
@@ -429,8 +452,7 @@
             self.lead(now, out);
             return;
         }
-        let holder = self.record.as_ref().map(|r| r.holder.clone());
-        if let Some(address) = holder.and_then(|h| self.members.address_of(&h)) {
+        if let Some(address) = self.leader_address() {
             let message = Message::Wanted { service, wanted };
             out.push(Effect::Send(address, message));
         }
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -32,6 +32,8 @@
     pub asked: Vec<(CompactString, u64)>,
     /// Demand by model.
     pub demand: Vec<ModelDemand>,
+    /// Adapters that requests used, by their hashes.
+    pub adapters: Vec<u32>,
 }
 
 /// Something that control has to know.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -13,6 +13,7 @@
 use super::control::{Control, Effect, Event, LocalUse};
 use super::document::{Document, Workspace};
 use super::duties::Duties;
+use super::leader::ADAPTER_TIME;
 use super::ledger::Step;
 use super::shared::Shared;
 use super::store::Store;
@@ -26,9 +27,6 @@
 const TICK: Millis = Millis(50);
 /// Ticks between two readings of what callers ask for.
 const TICKS_PER_USE: u32 = 5;
-/// How long an adapter takes to its engine: ten milliseconds, and a few for the
-/// order itself.
-const ADAPTER_TIME: Millis = Millis(12);
 
 /// Runs control until the process ends.
 pub fn run(
@@ -205,5 +203,6 @@
     LocalUse {
         asked: asked.collect(),
         demand: shared.take_demand(),
+        adapters: shared.take_adapters(),
     }
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -17,6 +17,7 @@
 use super::fleet::{EndpointKey, FleetCell, InFlight};
 use super::job::Job;
 use super::refusal::Refusal;
+use super::request::adapter_hash;
 use super::retry_budget::RetryBudget;
 use super::shared::Shared;
 use crate::clock::Millis;
@@ -253,6 +254,9 @@
                 ("waited_ms", now.since(job.arrived).into()),
             ],
         );
+        if let Some(wanted) = job.ask.model.as_ref().filter(|m| m.adapter.is_some()) {
+            self.shared.note_adapter(adapter_hash(wanted));
+        }
         Choice::Endpoint(chosen.key)
     }
 
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -64,6 +64,8 @@
     Limits(Vec<WorkspaceUse>),
     /// What its callers ask of the models.
     Demand(Vec<ModelUse>),
+    /// Adapters that requests used lately, by their hashes.
+    Adapters(Vec<u32>),
     /// A request waits for a model or an adapter; for the leader.
     Wanted {
         /// The service.
--- a/src/direct/leader.rs
+++ b/src/direct/leader.rs
@@ -1,7 +1,7 @@
 //! The duties of the gateway that holds the leader's key: placing models and
 //! adapters.
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 
 use super::balance::rendezvous;
 use super::dialect::{ModelOrder, Operation, OrderOutcome, Report};
@@ -10,7 +10,7 @@
 use super::gossip::ModelUse;
 use super::ledger::{Ledger, Step};
 use super::placement::{Copy, Demand, Engine, LoadBudget, Move, Situation, plan};
-use super::request::ModelRef;
+use super::request::{ModelRef, adapter_hash};
 use super::view::{EndpointView, LoadTable, Usability, load_of};
 use crate::clock::Millis;
 use crate::journal;
@@ -20,9 +20,12 @@
 /// How long a load may take before the engine is asked what became of it, if
 /// the model's own time is not known.
 const DEFAULT_LOAD: Millis = Millis(1_500);
-/// An adapter that was asked for within this time keeps its place: the time
-/// in which each of a model's adapters is asked for at a usual rate.
-const ADAPTER_KEEP: Millis = Millis(2_000);
+/// An adapter that was used within this time keeps its place: unloading one
+/// that requests still use holds up its engine until they end.
+const ADAPTER_KEEP: Millis = Millis(2_500);
+/// How long an adapter takes to its engine: ten milliseconds, and a few for the
+/// order itself.
+pub const ADAPTER_TIME: Millis = Millis(12);
 
 /// How long a model that made way stays hidden: an unload waits for the runs
 /// that have begun, and the registration after it may lag.
@@ -50,9 +53,10 @@
 }
 
 #[derive(Clone, Debug)]
-struct AdapterUse {
+struct AdapterOrder {
     endpoint: CompactString,
-    name: CompactString,
+    /// The adapter's hash.
+    name: u32,
     at: Millis,
 }
 
@@ -86,7 +90,9 @@
     ledger: Ledger,
     budgets: Vec<(CompactString, LoadBudget)>,
     wishes: Vec<Wish>,
-    adapter_uses: Vec<AdapterUse>,
+    adapter_orders: Vec<AdapterOrder>,
+    /// When requests last used each adapter, by its hash.
+    adapters_in_use: Vec<(u32, Millis)>,
     hidden: Vec<ModelChange>,
     /// When each copy that this leader ordered was ordered.
     loaded: Vec<ModelChange>,
@@ -117,7 +123,8 @@
             ledger: Ledger::default(),
             budgets: Vec::new(),
             wishes: Vec::new(),
-            adapter_uses: Vec::new(),
+            adapter_orders: Vec::new(),
+            adapters_in_use: Vec::new(),
             hidden: Vec::new(),
             loaded: Vec::new(),
             announcements: 0,
@@ -254,7 +261,7 @@
                 ("fence", self.mandate.fence.into()),
                 ("busiest", (&rows.join(", ")).into()),
                 ("engines", engines.len().into()),
-                ("free", engines.iter().filter(|e| e.is_free).count().into()),
+                ("held_up", (&self.ledger.held_up(now).join(", ")).into()),
                 ("store_loads", store_loads.into()),
             ],
         );
@@ -340,10 +347,18 @@
             });
             let holders: Vec<&EndpointView> =
                 open.filter(|e| e.holds_model(&wish.wanted.model)).collect();
-            if let Some(holder) = holders.iter().find(|e| e.holds(&wish.wanted)) {
-                self.note_adapter(now, &holder.registration.id, adapter);
-                duties.push(Duty::Announce(self.holdings_of(holder)));
-                granted.push(wish.wanted.clone());
+            let model = &wish.wanted.model;
+            let holder = holders.iter().find(|e| {
+                let id = &e.registration.id;
+                self.ledger.has_adapter(id, model, adapter)
+            });
+            if let Some(holder) = holder {
+                if now.since(self.adapter_ordered_at(&holder.registration.id, model, adapter))
+                    >= ADAPTER_TIME
+                {
+                    duties.push(Duty::Announce(self.holdings_of(holder)));
+                    granted.push(wish.wanted.clone());
+                }
                 continue;
             }
             if let Some(duty) = self.bring(now, scene, wish, adapter, &holders) {
@@ -362,7 +377,6 @@
         adapter: &CompactString,
         holders: &[&EndpointView],
     ) -> Option<Duty> {
-        let name = format_compact!("{}/{adapter}", wish.wanted.model);
         let is_coming = self
             .ledger
             .all_under_way()
@@ -375,7 +389,7 @@
             .iter()
             .filter(|e| self.ledger.is_free(now, &e.registration.id));
         let free: Vec<&&EndpointView> = free.collect();
-        let seed = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let seed = u64::from(adapter_hash(&wish.wanted));
         let with_room = free
             .iter()
             .filter(|e| self.adapters_at(&e.registration.id) < spec.adapter_slots);
@@ -386,8 +400,8 @@
         });
         if let Some(endpoint) = chosen {
             let id = endpoint.registration.id.clone();
-            self.note_adapter(now, &id, adapter);
             let model = wish.wanted.model.clone();
+            self.note_adapter(now, &id, adapter_hash(&wish.wanted));
             return self.order(now, &id, Operation::Load, model, Some(adapter.clone()));
         }
         self.make_room(now, &free)
@@ -400,9 +414,13 @@
             let id = &endpoint.registration.id;
             for resident in self.ledger.residents(id) {
                 for adapter in &resident.adapters {
-                    let used = self.adapter_uses.iter();
-                    let used = used.filter(|u| u.endpoint == *id && u.name == *adapter);
-                    let at = used.map(|u| u.at).max().unwrap_or_default();
+                    let wanted = ModelRef {
+                        model: resident.model.clone(),
+                        adapter: Some(adapter.clone()),
+                    };
+                    let hash = adapter_hash(&wanted);
+                    let ordered = self.ordered_at(id, hash);
+                    let at = ordered.max(self.used_at(hash));
                     if oldest.as_ref().is_none_or(|(known, ..)| at < *known) {
                         oldest = Some((at, id.clone(), resident.model.clone(), adapter.clone()));
                     }
@@ -413,21 +431,50 @@
         if now.since(at) < ADAPTER_KEEP && at != Millis::ZERO {
             return None;
         }
-        self.adapter_uses
-            .retain(|u| !(u.endpoint == id && u.name == adapter));
         self.order(now, &id, Operation::Unload, model, Some(adapter))
     }
 
-    fn note_adapter(&mut self, now: Millis, endpoint: &CompactString, adapter: &CompactString) {
+    /// Takes in which adapters requests used lately, at any engine.
+    pub fn adapters_used(&mut self, now: Millis, hashes: &[u32]) {
+        for hash in hashes {
+            match self.adapters_in_use.binary_search_by_key(hash, |(h, _)| *h) {
+                Ok(at) => self.adapters_in_use[at].1 = now,
+                Err(at) => self.adapters_in_use.insert(at, (*hash, now)),
+            }
+        }
+    }
+
+    fn used_at(&self, hash: u32) -> Millis {
+        let at = self
+            .adapters_in_use
+            .binary_search_by_key(&hash, |(h, _)| *h);
+        at.map_or(Millis::ZERO, |at| self.adapters_in_use[at].1)
+    }
+
+    fn adapter_ordered_at(&self, endpoint: &str, model: &str, adapter: &str) -> Millis {
+        let wanted = ModelRef {
+            model: model.into(),
+            adapter: Some(adapter.into()),
+        };
+        self.ordered_at(endpoint, adapter_hash(&wanted))
+    }
+
+    fn ordered_at(&self, endpoint: &str, hash: u32) -> Millis {
+        let mut ordered = self.adapter_orders.iter();
+        let found = ordered.find(|u| u.endpoint == endpoint && u.name == hash);
+        found.map_or(Millis::ZERO, |u| u.at)
+    }
+
+    fn note_adapter(&mut self, now: Millis, endpoint: &CompactString, name: u32) {
         let known = self
-            .adapter_uses
+            .adapter_orders
             .iter_mut()
-            .find(|u| u.endpoint == *endpoint && u.name == *adapter);
+            .find(|u| u.endpoint == *endpoint && u.name == name);
         match known {
             Some(one) => one.at = now,
-            None => self.adapter_uses.push(AdapterUse {
+            None => self.adapter_orders.push(AdapterOrder {
                 endpoint: endpoint.clone(),
-                name: adapter.clone(),
+                name,
                 at: now,
             }),
         }
--- a/src/direct/ledger.rs
+++ b/src/direct/ledger.rs
@@ -13,8 +13,9 @@
 
 /// How long an order may go unanswered before it is sent once more.
 pub const ORDER_TIMEOUT: Millis = Millis(600);
-/// How long after its expected end a load is asked for by a report: the
-/// engine's registration usually tells earlier.
+/// How long after an order, or after the expected end of a load, a report is
+/// asked for: reports are some hundred milliseconds old, and a registration
+/// usually tells of a load earlier.
 const REPORT_AFTER: Millis = Millis(700);
 /// Time between two reports of one engine; a report is some 200 ms old.
 const REPORT_INTERVAL: Millis = Millis(400);
@@ -34,7 +35,7 @@
     /// The engine carries out an order about a model.
     Working { order: ModelOrder, until: Millis },
     /// What the engine did is to be read from its report.
-    Unsure { order: ModelOrder },
+    Unsure { order: ModelOrder, since: Millis },
 }
 
 #[derive(Clone, Debug)]
@@ -95,12 +96,31 @@
     pub fn under_way(&self, endpoint: &str) -> Option<&ModelOrder> {
         match &self.account(endpoint)?.phase {
             Phase::Unread | Phase::Free => None,
-            Phase::Sent { order, .. } | Phase::Working { order, .. } | Phase::Unsure { order } => {
-                Some(order)
-            }
+            Phase::Sent { order, .. }
+            | Phase::Working { order, .. }
+            | Phase::Unsure { order, .. } => Some(order),
         }
     }
 
+    /// Engines that take no order now, each with what it waits for.
+    pub fn held_up(&self, now: Millis) -> Vec<String> {
+        let held_up = self.accounts.iter().filter_map(|account| {
+            let why = match &account.phase {
+                Phase::Unread => "unread".to_owned(),
+                Phase::Free if now < account.rests_until => "rests".to_owned(),
+                Phase::Free => return None,
+                Phase::Sent { order, .. } => format!("unanswered {}", order.model),
+                Phase::Working { order, .. } => format!("working {}", order.model),
+                Phase::Unsure { order, .. } => format!("unsure {}", order.model),
+            };
+            Some(format!(
+                "{} {why} after {}",
+                account.endpoint, account.orders
+            ))
+        });
+        held_up.collect()
+    }
+
     /// All orders under way.
     pub fn all_under_way(&self) -> impl Iterator<Item = &ModelOrder> {
         self.accounts
@@ -147,22 +167,32 @@
             Some(OrderOutcome::Accepted) => {
                 account.orders = order.expected + 1;
                 account.apply(&order);
-                account.phase = match is_model {
-                    true => Phase::Working {
+                account.phase = match (is_model, order.operation) {
+                    (true, _) => Phase::Working {
                         order,
                         until: now + takes,
                     },
-                    false => Phase::Free,
+                    (false, Operation::Load) => Phase::Free,
+                    // It waits for the requests that use the adapter.
+                    (false, Operation::Unload) => Phase::Unsure { order, since: now },
                 };
                 true
             }
             Some(OrderOutcome::Done) => {
-                account.phase = Phase::Unsure { order };
+                // Unloading an adapter ends at once and counts; what held
+                // already does not count.
+                if !is_model && order.operation == Operation::Unload {
+                    account.orders = order.expected + 1;
+                }
+                account.apply(&order);
+                account.phase = match is_model {
+                    true => Phase::Unsure { order, since: now },
+                    false => Phase::Free,
+                };
                 true
             }
             Some(OrderOutcome::Busy) => {
-                account.phase = Phase::Unsure { order };
-                account.rests_until = now + REST;
+                account.phase = Phase::Unsure { order, since: now };
                 false
             }
             Some(OrderOutcome::Fenced | OrderOutcome::OtherEndpoint | OrderOutcome::Invalid) => {
@@ -179,7 +209,15 @@
     pub fn reported(&mut self, now: Millis, endpoint: &str, report: &Report) {
         let Ok(at) = self.find(endpoint) else { return };
         let account = &mut self.accounts[at];
-        if account.born != report.born || report.orders < account.orders {
+        if account.born != report.born {
+            return;
+        }
+        let is_trusted = match account.phase {
+            // It was asked for long enough after the last order to show it.
+            Phase::Unread | Phase::Unsure { .. } => true,
+            _ => report.orders >= account.orders,
+        };
+        if !is_trusted {
             return;
         }
         account.orders = report.orders;
@@ -187,7 +225,6 @@
         let is_sent = matches!(account.phase, Phase::Sent { .. });
         if !is_sent && !report.is_busy {
             account.phase = Phase::Free;
-            account.rests_until = account.rests_until.max(now);
         }
     }
 
@@ -212,6 +249,12 @@
         account.phase = Phase::Free;
     }
 
+    /// Whether an engine holds an adapter, or is getting it.
+    pub fn has_adapter(&self, endpoint: &str, model: &str, adapter: &str) -> bool {
+        let found = self.residents(endpoint).iter().find(|r| r.model == model);
+        found.is_some_and(|r| r.adapters.iter().any(|a| a == adapter))
+    }
+
     /// What an engine holds as far as the leader knows.
     pub fn residents(&self, endpoint: &str) -> &[Resident] {
         self.account(endpoint).map_or(&[], |a| &a.residents)
@@ -262,6 +305,7 @@
                 });
             }
             Phase::Working { until, .. } if now < *until + REPORT_AFTER => return None,
+            Phase::Unsure { since, .. } if now < *since + REPORT_AFTER => return None,
             Phase::Unread | Phase::Working { .. } | Phase::Unsure { .. } => {}
         }
         let was_asked = self
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -14,6 +14,13 @@
     pub adapter: Option<CompactString>,
 }
 
+/// The name of a model with its adapter in messages and tables of the gateways.
+pub fn adapter_hash(wanted: &ModelRef) -> u32 {
+    let adapter = wanted.adapter.as_deref().unwrap_or_default();
+    let hash = xxhash_rust::xxh3::xxh3_64(wanted.model.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(adapter.as_bytes(), hash) as u32
+}
+
 /// One part of a prompt. Requests that begin with the same parts share them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -50,6 +50,7 @@
     others: ArcSwap<LoadTable>,
     own_loads: Mutex<LoadTable>,
     demand: Mutex<Vec<ModelDemand>>,
+    adapters: Mutex<Vec<u32>>,
     events: mpsc::UnboundedSender<Event>,
     draining: watch::Sender<bool>,
     draining_since: AtomicU64,
@@ -78,6 +79,7 @@
             others: ArcSwap::default(),
             own_loads: Mutex::default(),
             demand: Mutex::default(),
+            adapters: Mutex::default(),
             events,
             draining: watch::Sender::new(false),
             draining_since: AtomicU64::new(u64::MAX),
@@ -174,6 +176,19 @@
         }
     }
 
+    /// Notes that a request uses an adapter.
+    pub fn note_adapter(&self, hash: u32) {
+        let mut adapters = lock(&self.adapters);
+        if let Err(at) = adapters.binary_search(&hash) {
+            adapters.insert(at, hash);
+        }
+    }
+
+    /// Reads and resets which adapters requests used.
+    pub fn take_adapters(&self) -> Vec<u32> {
+        std::mem::take(&mut *lock(&self.adapters))
+    }
+
     /// Reads the demand and resets the count of arrivals.
     pub fn take_demand(&self) -> Vec<ModelDemand> {
         let mut demand = lock(&self.demand);
