--- a/src/direct/leader.rs
+++ b/src/direct/leader.rs
@@ -96,6 +96,8 @@
     hidden: Vec<ModelChange>,
     /// When each copy that this leader ordered was ordered.
     loaded: Vec<ModelChange>,
+    /// Models for which copies were told to make way.
+    awaited: Vec<ModelChange>,
     announcements: u64,
     logged_at: Millis,
     load_window: Millis,
@@ -127,6 +129,7 @@
             adapters_in_use: Vec::new(),
             hidden: Vec::new(),
             loaded: Vec::new(),
+            awaited: Vec::new(),
             announcements: 0,
             logged_at: Millis::ZERO,
             load_window,
@@ -329,6 +332,7 @@
             copies,
             at_hand: registration.at_hand.clone(),
             open: load.requests,
+            awaits: self.awaited_at(now, &registration.id),
         }
     }
 
@@ -566,12 +570,27 @@
             model: step.model.clone(),
             since: now,
         };
+        self.awaited.retain(|a| a.endpoint != step.engine);
+        if let Some(model) = &step.makes_room_for {
+            self.awaited.push(ModelChange {
+                model: model.clone(),
+                ..change.clone()
+            });
+        }
         match step.is_load {
             true => self.loaded.push(change),
             false => self.hidden.push(change),
         }
     }
 
+    /// The model that an engine clears a place for.
+    fn awaited_at(&self, now: Millis, endpoint: &str) -> Option<CompactString> {
+        let lately = |a: &&ModelChange| now.since(a.since) < HIDDEN_LIFETIME;
+        let mut awaited = self.awaited.iter().filter(lately);
+        let found = awaited.find(|a| a.endpoint == endpoint)?;
+        Some(found.model.clone())
+    }
+
     /// How long a model has been at an engine; one that this leader did not
     /// order has been there for as long as the leader knows.
     fn age_of(&self, now: Millis, endpoint: &str, model: &str) -> Millis {
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -71,9 +71,16 @@
     pub at_hand: Vec<CompactString>,
     /// Its open requests from all gateways.
     pub open: u32,
+    /// The model that a copy was told to make way for.
+    pub awaits: Option<CompactString>,
 }
 
 impl Engine {
+    /// Whether a copy of a model may be brought here now.
+    fn takes(&self, model: &str) -> bool {
+        self.is_free && self.is_open && self.awaits.is_none() && !self.holds(model)
+    }
+
     fn holds(&self, model: &str) -> bool {
         self.copies.iter().any(|c| c.model == model)
     }
@@ -90,6 +97,8 @@
     pub is_load: bool,
     /// Whether the load comes from the weight store.
     pub is_from_store: bool,
+    /// The model that an unload makes room for.
+    pub makes_room_for: Option<CompactString>,
 }
 
 /// The inputs of one round of planning.
@@ -108,6 +117,7 @@
 /// The moves that are to begin now, at most one for an engine.
 pub fn plan(situation: &Situation<'_>) -> Vec<Move> {
     let mut round = Round::new(situation);
+    round.fill_cleared_places();
     while let Some(at) = round.neediest() {
         if !round.add_copy(at) && !round.relocate_for(at) {
             round.skipped[at] = true;
@@ -133,9 +143,10 @@
         let copies = models.iter().map(|model| {
             let open = situation.engines.iter().filter(|e| e.is_open);
             let copies = open.flat_map(|e| &e.copies);
-            copies
-                .filter(|c| c.model == model.name && !c.is_leaving)
-                .count()
+            let there = copies.filter(|c| c.model == model.name && !c.is_leaving);
+            let awaiting = situation.engines.iter().filter(|e| e.is_open);
+            let awaiting = awaiting.filter(|e| e.awaits.as_ref() == Some(&model.name));
+            there.count() + awaiting.count()
         });
         Self {
             spec: situation.spec,
@@ -148,6 +159,28 @@
         }
     }
 
+    /// Loads the models that copies have made way for. Their places were counted
+    /// when the copies were told to leave, which may be seconds ago.
+    fn fill_cleared_places(&mut self) {
+        for index in 0..self.engines.len() {
+            let engine = &self.engines[index];
+            let awaited = engine
+                .awaits
+                .as_ref()
+                .filter(|_| engine.is_free && engine.is_open);
+            let Some(at) = awaited.and_then(|model| self.index_of(model)) else {
+                continue;
+            };
+            let model = &self.spec.models[at];
+            let is_from_store = !engine.at_hand.contains(&model.name);
+            let has_room = free_mb(self.spec, engine) >= model.weight_mb;
+            if has_room && (self.store_loads > 0 || !is_from_store) {
+                self.copies[at] -= 1;
+                self.load(at, index);
+            }
+        }
+    }
+
     fn weight(&self, at: usize) -> f64 {
         self.demand.get(at).map_or(0.0, Demand::weight)
     }
@@ -185,7 +218,7 @@
             return false;
         };
         let places = self.engines.iter().enumerate();
-        let places = places.filter(|(_, e)| e.is_free && e.is_open && !e.holds(&model.name));
+        let places = places.filter(|(_, e)| e.takes(&model.name));
         let places = places.filter_map(|(index, engine)| {
             let is_from_store = !engine.at_hand.contains(&model.name);
             if is_from_store && self.store_loads == 0 {
@@ -261,7 +294,7 @@
         let newcomer = self.pressure(at, self.copies[at] + 1);
         let mut best: Option<(f64, usize, usize)> = None;
         for (from, engine) in self.engines.iter().enumerate() {
-            if !engine.is_free || !engine.is_open || engine.holds(&model.name) {
+            if !engine.takes(&model.name) {
                 continue;
             }
             let free = free_mb(spec, engine);
@@ -300,9 +333,7 @@
     fn tightest_place(&self, at: usize, except: usize) -> Option<usize> {
         let model = &self.spec.models[at];
         let places = self.engines.iter().enumerate();
-        let places = places.filter(|(index, e)| {
-            *index != except && e.is_free && e.is_open && !e.holds(&model.name)
-        });
+        let places = places.filter(|(index, e)| *index != except && e.takes(&model.name));
         let places = places.map(|(index, e)| (free_mb(self.spec, e), index));
         let places = places.filter(|(free, _)| *free >= model.weight_mb);
         let best = places.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -329,6 +360,7 @@
             model: model.name.clone(),
             is_load: true,
             is_from_store,
+            makes_room_for: None,
         });
     }
 
@@ -337,14 +369,15 @@
         let engine = &mut self.engines[index];
         engine.is_free = false;
         self.copies[victim] -= 1;
-        // The place is spoken for: counting it keeps this round from clearing
-        // a place for the same need again.
+        // The place is spoken for: counting it keeps this round and the next
+        // ones from clearing a place for the same need again.
         self.copies[for_model] += 1;
         self.moves.push(Move {
             engine: engine.id.clone(),
             model: self.spec.models[victim].name.clone(),
             is_load: false,
             is_from_store: false,
+            makes_room_for: Some(self.spec.models[for_model].name.clone()),
         });
     }
 
