--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -103,18 +103,20 @@
 
 #[test]
 fn single_copies_move_together_to_make_room_for_a_model_in_demand() {
-    // Every place holds the only copy of a rare model but one half-empty engine.
-    let spec = spec(8);
+    // The empty engine has two places, of which the busy model can use only one:
+    // the other one has to go to a single copy whose place the busy one takes.
+    let spec = spec(9);
     let mut engines = vec![
         engine(0, &[0, 1]),
         engine(1, &[2, 3]),
         engine(2, &[4, 5]),
-        engine(3, &[6]),
-        engine(4, &[7]),
+        engine(3, &[6, 7]),
+        engine(4, &[8]),
+        engine(5, &[]),
     ];
-    settle(&spec, &mut engines, &demand(8, &[(7, 50.0)]), 30);
-    assert!(copies_of(&engines, 7) >= 2, "{engines:?}");
-    assert!((0..8).all(|model| copies_of(&engines, model) >= 1));
+    settle(&spec, &mut engines, &demand(9, &[(7, 50.0)]), 30);
+    assert!(copies_of(&engines, 7) >= 4, "{engines:?}");
+    assert!((0..9).all(|model| copies_of(&engines, model) >= 1));
 }
 
 #[test]
