--- a/src/direct.rs
+++ b/src/direct.rs
@@ -52,7 +52,7 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, Result};
-use crate::http::serve;
+use crate::http::{Server, serve};
 use crate::journal;
 use crate::metrics::Metrics;
 
@@ -102,11 +102,15 @@
         1,
         Arc::new(Inner::new(shared.clone())),
     )?;
+    let exporter = serve_metrics(&shared);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
     LocalSet::new().block_on(&runtime, carry_traffic(shared, max_descriptors))?;
+    if let Some(exporter) = exporter {
+        exporter.stop();
+    }
     inner.stop();
     readiness.stop();
     journal::write("process.stopped", &[]);
@@ -114,6 +118,18 @@
     Ok(())
 }
 
+/// Serves metrics at an address of their own, if the settings name one. A port
+/// that another process holds is no reason not to serve callers.
+fn serve_metrics(shared: &Arc<Shared>) -> Option<Server> {
+    let address = shared.settings.metrics?;
+    let served = serve(address, 1, Arc::new(Inner::new(shared.clone())));
+    let report = |error: &Error| {
+        let error = error.to_string();
+        journal::write("metrics.unavailable", &[("error", (&error).into())]);
+    };
+    served.inspect_err(report).ok()
+}
+
 async fn carry_traffic(shared: Arc<Shared>, max_descriptors: u32) -> Result<()> {
     let address = shared.settings.callers;
     let listener = TcpListener::bind(address)
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -18,9 +18,11 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the process is ready.
     pub readiness: SocketAddr,
-    /// Where the other gateways connect (UDP and TCP), and where the state
-    /// dump and metrics are served.
+    /// Where the other gateways connect (UDP and TCP), and where the state dump
+    /// is served.
     pub inner: SocketAddr,
+    /// Where metrics are served, beside the address for the other gateways.
+    pub metrics: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// The operator's bounds.
