--- a/examples/shares.rs
+++ b/examples/shares.rs
@@ -55,6 +55,7 @@
     show("active", &ledgers);
 
     let short = Usage {
+        refused: 0,
         workspace: "web".into(),
         used: 0,
         short: 2_000,
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -53,8 +53,8 @@
 use crate::clock::Millis;
 use crate::error::{Error, Result};
 use crate::http::{Server, serve};
-use crate::journal;
 use crate::metrics::Metrics;
+use crate::{journal, logs};
 
 use dialect::Dialect;
 use front::Front;
@@ -77,7 +77,7 @@
 
 /// Runs a gateway until it is told to stop and its last request is answered.
 pub fn run(settings: Settings, dialect: Arc<dyn Dialect>, max_descriptors: u32) -> Result<()> {
-    journal::start();
+    let _log = logs::start_in_journal()?;
     journal::write(
         "process.started",
         &[
--- /dev/null
+++ b/src/direct/control/leadership.rs
@@ -0,0 +1,224 @@
+//! Control's part in leading the fleet, and in asking its leader.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+
+use super::{CLAIM_PAUSE, Control, Effect, LEASE_MARGIN, LeaderRecord};
+use crate::clock::Millis;
+use crate::direct::dialect::{ModelOrder, OrderOutcome};
+use crate::direct::directory::Holdings;
+use crate::direct::gossip::Message;
+use crate::direct::leader::{Duty, Leader, Mandate, Scene};
+use crate::direct::request::ModelRef;
+use crate::journal;
+
+impl Control {
+    pub(super) fn leader_key(&mut self, now: Millis, record: Option<LeaderRecord>) {
+        self.is_record_known = true;
+        let is_mine = record.as_ref().is_some_and(|r| {
+            let fence = self.leader.as_ref().map(|l| l.mandate().fence);
+            fence == Some(r.revision)
+        });
+        if self.record != record {
+            let holder = record.as_ref().map_or("", |r| r.holder.as_str());
+            let fence = record.as_ref().map_or(0, |r| r.revision);
+            journal::write(
+                "leader.changed",
+                &[("holder", holder.into()), ("fence", fence.into())],
+            );
+        }
+        let superseded = record.as_ref().is_some_and(|r| {
+            self.leader
+                .as_ref()
+                .is_some_and(|l| l.mandate().fence < r.revision)
+        });
+        self.record = record;
+        if superseded && !is_mine {
+            self.resign("superseded");
+        }
+        self.due.claim = now + Millis(CLAIM_PAUSE.0 * self.members.rank() as u64);
+    }
+
+    /// Tries to become leader where there is none, or where the leader was an
+    /// earlier start of this gateway.
+    pub(super) fn campaign(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let is_able = !self.is_draining
+            && self.leader.is_none()
+            && self.is_record_known
+            && now + LEASE_MARGIN < self.lease_until
+            && self.document.is_some();
+        if !is_able || now < self.due.claim {
+            return;
+        }
+        let (expected, is_succession) = match &self.record {
+            None => (0, false),
+            Some(r) if r.holder == self.settings.name => (r.revision, false),
+            Some(r) if r.holder.is_empty() => (r.revision, true),
+            Some(_) => return,
+        };
+        self.due.claim = now + Millis(CLAIM_PAUSE.0 * (1 + self.members.rank() as u64));
+        out.push(Effect::Claim {
+            expected,
+            is_succession,
+        });
+    }
+
+    pub(super) fn claimed(&mut self, now: Millis, fence: u64, is_succession: bool) {
+        if self.is_draining {
+            return;
+        }
+        let pause = match is_succession {
+            true => self.settings.bounds.succession,
+            false => Millis::ZERO,
+        };
+        let mandate = Mandate {
+            fence,
+            from: now + pause,
+        };
+        journal::write(
+            "leader.elected",
+            &[("fence", fence.into()), ("waits_ms", pause.into())],
+        );
+        let name = self.settings.name.clone();
+        self.record = Some(LeaderRecord {
+            holder: name.clone(),
+            revision: fence,
+        });
+        self.leader = Some(Leader::new(name, mandate, self.settings.bounds.load_window));
+    }
+
+    pub(super) fn resign(&mut self, why: &str) {
+        if let Some(leader) = self.leader.take() {
+            let fence = leader.mandate().fence;
+            journal::write(
+                "leader.resigned",
+                &[("fence", fence.into()), ("why", why.into())],
+            );
+        }
+    }
+
+    pub(super) fn tell_leader(&mut self, now: Millis, id: &str, out: &mut Vec<Effect>) {
+        self.with_leader(now, |leader, scene| {
+            let found = scene.endpoints.iter().find(|e| e.registration.id == id);
+            if let Some(view) = found {
+                leader.registered(view);
+            }
+        });
+        self.announce_one(now, id, out);
+    }
+
+    pub(super) fn lead(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.mandate(now).is_none() {
+            return;
+        }
+        let duties = self.with_leader(now, |leader, scene| leader.act(now, scene));
+        for duty in duties.unwrap_or_default() {
+            match duty {
+                Duty::Step(step) => out.push(Effect::Step(step)),
+                Duty::Announce(holdings) => self.announce(now, holdings, out),
+            }
+        }
+    }
+
+    pub(super) fn order_answered(
+        &mut self,
+        now: Millis,
+        endpoint: &str,
+        order: &ModelOrder,
+        outcome: Option<OrderOutcome>,
+        out: &mut Vec<Effect>,
+    ) {
+        let answered = self.with_leader(now, |leader, scene| {
+            leader.answered(now, scene, endpoint, order, outcome)
+        });
+        if let Some(holdings) = answered.flatten() {
+            out.push(Effect::AnnounceSoon(holdings));
+        }
+    }
+
+    /// Lets the leader work on the situation as it is now.
+    pub(super) fn with_leader<T>(
+        &mut self,
+        now: Millis,
+        work: impl FnOnce(&mut Leader, &Scene<'_>) -> T,
+    ) -> Option<T> {
+        let document = self.document.clone()?;
+        let endpoints = self.directory.views(now);
+        let mut loads = self.members.loads(now);
+        for (endpoint, load) in &self.own_loads {
+            match loads.binary_search_by(|(id, _)| id.cmp(endpoint)) {
+                Ok(at) => loads[at].1.add(load),
+                Err(at) => loads.insert(at, (endpoint.clone(), load.clone())),
+            }
+        }
+        let mut demand = self.rates.demand();
+        demand.extend(self.members.demand(now).cloned());
+        let leader = self.leader.as_mut()?;
+        Some(work(
+            leader,
+            &Scene {
+                document: &document,
+                endpoints: &endpoints,
+                loads: &loads,
+                demand: &demand,
+            },
+        ))
+    }
+
+    pub(super) fn wanted(
+        &mut self,
+        now: Millis,
+        service: CompactString,
+        wanted: ModelRef,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(leader) = &mut self.leader {
+            leader.wish(now, service, wanted);
+            self.lead(now, out);
+            return;
+        }
+        if let Some(address) = self.leader_address() {
+            let message = Message::Wanted { service, wanted };
+            out.push(Effect::Send(address, message));
+        }
+    }
+
+    /// Tells all gateways what an engine holds, if this one leads.
+    pub(super) fn announce_one(&mut self, now: Millis, endpoint: &str, out: &mut Vec<Effect>) {
+        let holdings = self.with_leader(now, |leader, scene| {
+            let view = scene
+                .endpoints
+                .iter()
+                .find(|e| e.registration.id == endpoint)?;
+            Some(leader.holdings_of(view))
+        });
+        if let Some(holdings) = holdings.flatten() {
+            self.announce(now, holdings, out);
+        }
+    }
+
+    pub(super) fn announce(&mut self, _now: Millis, holdings: Holdings, out: &mut Vec<Effect>) {
+        if self.directory.set_holdings(holdings.clone()) {
+            out.push(Effect::Publish);
+        }
+        out.push(Effect::Broadcast(Message::Holdings(vec![holdings])));
+    }
+
+    /// Tells the leader which adapters are in use.
+    pub(super) fn adapters_used(&mut self, now: Millis, used: &[u32], out: &mut Vec<Effect>) {
+        if used.is_empty() {
+            return;
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.adapters_used(now, used);
+        } else if let Some(address) = self.leader_address() {
+            out.push(Effect::Send(address, Message::Adapters(used.to_vec())));
+        }
+    }
+
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        let holder = &self.record.as_ref()?.holder;
+        self.members.address_of(holder)
+    }
+}
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -60,7 +60,7 @@
 }
 
 enum Attempt {
-    Answered(Begun),
+    Answered(Box<Begun>),
     /// Certainly not run.
     NotRun(Code),
     /// It may have run.
@@ -114,10 +114,10 @@
                     if is_failure && self.may_run_again(job, tried) {
                         let status = begun.status().as_u16();
                         job.log("request.endpoint_error", &[("status", status.into())]);
-                        failure = Some(begun);
+                        failure = Some(*begun);
                         continue;
                     }
-                    return Ok(begun);
+                    return Ok(*begun);
                 }
                 Attempt::NotRun(code) => last = Refusal::new(code).retry_after(BUSY_RETRY),
                 Attempt::Failed(code) => {
@@ -379,12 +379,12 @@
             }
         });
         let may_stay = !says_close(res.headers());
-        Attempt::Answered(res.map(|body| OpenAnswer {
+        Attempt::Answered(Box::new(res.map(|body| OpenAnswer {
             body,
             connection,
             in_flight,
             may_stay,
-        }))
+        })))
     }
 }
 
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,8 +1,10 @@
 //! Start of the log.
 
-use flexi_logger::{Logger, LoggerHandle, detailed_format, json_format};
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, Logger, LoggerHandle, Record, detailed_format, json_format};
 
 use crate::error::{Error, Result};
+use crate::journal;
 use crate::settings::LogSettings;
 
 /// Starts logging to standard error. The handle must live as long as the process.
@@ -20,6 +22,37 @@
         .map_err(log_error)
 }
 
+/// Sends what the log macros write into the journal of structured lines.
+struct JournalWriter;
+
+impl LogWriter for JournalWriter {
+    fn write(&self, _now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+        journal::write(
+            "log",
+            &[
+                ("level", record.level().as_str().into()),
+                ("module", record.target().into()),
+                ("message", (&record.args().to_string()).into()),
+            ],
+        );
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging into the journal on standard output.
+pub fn start_in_journal() -> Result<LoggerHandle> {
+    journal::start();
+    Logger::try_with_str("warn, rattanstall=info")
+        .map_err(log_error)?
+        .log_to_writer(Box::new(JournalWriter))
+        .start()
+        .map_err(log_error)
+}
+
 fn log_error(error: impl std::fmt::Display) -> Error {
     Error::Config {
         key: "log".to_owned(),
