--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -25,6 +25,10 @@
 
 /// Time between two looks at what is due.
 const TICK: Millis = Millis(50);
+/// Part of a workspace's burst that buckets hold, in percent: six gateways'
+/// debts are up to a tenth of a second's rate and a request of some thousand
+/// tokens each.
+const USABLE_BURST_PERCENT: u64 = 80;
 /// Ticks between two readings of what callers ask for.
 const TICKS_PER_USE: u32 = 5;
 
@@ -144,14 +148,14 @@
             let known = old.binary_search_by(|b| b.workspace.cmp(&workspace.name));
             if let Ok(at) = known {
                 let has_changed =
-                    old[at].with(|b| b.set_limits(now, workspace.rate, workspace.burst));
+                    old[at].with(|b| b.set_limits(now, workspace.rate, usable_burst(workspace)));
                 if has_changed {
                     log_limit(workspace, document.version);
                 }
                 return old[at].clone();
             }
             log_limit(workspace, document.version);
-            let mut bucket = Bucket::new(now, workspace.rate, workspace.burst);
+            let mut bucket = Bucket::new(now, workspace.rate, usable_burst(workspace));
             let part = control.parts().find(|(name, _)| **name == workspace.name);
             bucket.set_share(now, part.map_or(0, |(_, ppm)| ppm));
             Arc::new(BucketCell::new(workspace.name.clone(), bucket))
@@ -161,6 +165,13 @@
     }
 }
 
+/// The burst that buckets hold. The rest covers what gateways are in debt by,
+/// one request each and what accrues while it waits, and parts that sum to a
+/// little more than the whole while they change.
+fn usable_burst(workspace: &Workspace) -> u64 {
+    workspace.burst * USABLE_BURST_PERCENT / 100
+}
+
 fn log_limit(workspace: &Workspace, version: u64) {
     journal::write(
         "limit.changed",
