Decode only the newest of several versions in one answer

Ruled out: the store (others were current) and the way over peers (it pulled, but decoded in the same queue).

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -36,8 +36,8 @@
 pub mod settings;
 pub mod shared;
 pub mod shares;
-mod store;
-mod sync;
+pub mod store;
+pub mod sync;
 pub mod view;
 
 use std::rc::Rc;
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -30,6 +30,10 @@
     fn read(&self, store: &Store, page: Page) -> Vec<Event>;
     /// Takes in one change.
     fn changed(&self, store: &Store, item: Item) -> Option<Event>;
+    /// The changes of one answer that matter, in their order.
+    fn relevant(&self, items: Vec<Item>) -> Vec<Item> {
+        items
+    }
 }
 
 /// Follows the operator's configuration.
@@ -64,6 +68,16 @@
     fn changed(&self, store: &Store, item: Item) -> Option<Event> {
         Self::decode(store, &item)
     }
+
+    /// Each version is complete, so that only the newest one is worth decoding:
+    /// a gateway that is behind in a storm of large versions catches up.
+    fn relevant(&self, items: Vec<Item>) -> Vec<Item> {
+        items
+            .into_iter()
+            .max_by_key(|i| i.revision)
+            .into_iter()
+            .collect()
+    }
 }
 
 /// Follows the endpoints' registrations.
@@ -209,7 +223,7 @@
         match store.watch(prefix, revision, WATCH_WAIT).await {
             Ok(page) => {
                 revision = page.revision.max(revision);
-                for item in page.items {
+                for item in follower.relevant(page.items) {
                     if let Some(event) = follower.changed(store, item) {
                         send(events, event);
                     }
--- a/tests/direct_parts.rs
+++ b/tests/direct_parts.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use rattanstall::clock::Millis;
 use rattanstall::direct::balance::{Need, candidates, choose};
-use rattanstall::direct::dialect::{EndpointState, Registration, Resident};
+use rattanstall::direct::dialect::{EndpointState, Item, Registration, Resident};
 use rattanstall::direct::directory::{Change, Directory, Grace, Holdings};
 use rattanstall::direct::document::{Document, Kind, Route};
 use rattanstall::direct::fleet::Fleet;
@@ -18,6 +18,7 @@
 use rattanstall::direct::request::ModelRef;
 use rattanstall::direct::resume::EventTracker;
 use rattanstall::direct::retry_budget::{RetryBudget, RetryLimit};
+use rattanstall::direct::sync::{ConfigurationFollower, Follower as _};
 use rattanstall::direct::view::{EndpointView, Load, LoadTable, Usability, View};
 
 fn registration(id: &str, born: u64, models: &[&str]) -> Registration {
@@ -287,6 +288,19 @@
     assert_eq!(of_b.count(), 100);
 }
 
+#[test]
+fn a_gateway_behind_in_a_storm_of_versions_decodes_only_the_newest() {
+    let items = [3, 9, 5].map(|revision| Item {
+        key: "configuration".into(),
+        value: None,
+        revision,
+        created: 1,
+    });
+    let relevant = ConfigurationFollower.relevant(items.to_vec());
+    assert_eq!(relevant.len(), 1);
+    assert_eq!(relevant[0].revision, 9);
+}
+
 fn datagram(number: u64) -> Datagram {
     Datagram {
         from: "peer".into(),
