--- a/src/direct.rs
+++ b/src/direct.rs
@@ -95,6 +95,8 @@
         .name("control".to_owned())
         .spawn(move || driver::run(control, events, queue))
         .map_err(|e| Error::io("starting the control thread", e))?;
+    // Before the balancer can be told that the process is ready.
+    let listener = bind_callers(&shared)?;
     let readiness = Readiness::new(shared.clone());
     let readiness = serve(shared.settings.readiness, 1, Arc::new(readiness))?;
     let inner = serve(
@@ -107,7 +109,8 @@
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
-    LocalSet::new().block_on(&runtime, carry_traffic(shared, max_descriptors))?;
+    let traffic = carry_traffic(shared, listener, max_descriptors);
+    LocalSet::new().block_on(&runtime, traffic)?;
     if let Some(exporter) = exporter {
         exporter.stop();
     }
@@ -130,11 +133,22 @@
     served.inspect_err(report).ok()
 }
 
-async fn carry_traffic(shared: Arc<Shared>, max_descriptors: u32) -> Result<()> {
+fn bind_callers(shared: &Shared) -> Result<std::net::TcpListener> {
     let address = shared.settings.callers;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|e| Error::io(format!("binding TCP {address}"), e))?;
+    let bound = std::net::TcpListener::bind(address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    });
+    bound.map_err(|e| Error::io(format!("binding TCP {address}"), e))
+}
+
+async fn carry_traffic(
+    shared: Arc<Shared>,
+    listener: std::net::TcpListener,
+    max_descriptors: u32,
+) -> Result<()> {
+    let listener =
+        TcpListener::from_std(listener).map_err(|e| Error::io("accepting callers", e))?;
     let mut stop =
         signal(SignalKind::terminate()).map_err(|e| Error::io("listening for SIGTERM", e))?;
     let front = Front::new(shared.clone(), max_descriptors);
