--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -146,17 +146,17 @@
             Event::Configuration(document) => self.configure(now, document, &mut out),
             Event::Registrations(all) => {
                 let changes = self.directory.replace(now, all);
-                self.directory_changed(now, &changes, &mut out);
+                self.directory_changed(&changes, &mut out);
             }
             Event::Registered(registration) => {
                 let id = registration.id.clone();
                 let change = self.directory.put(now, registration);
-                self.directory_changed(now, change.as_slice(), &mut out);
+                self.directory_changed(change.as_slice(), &mut out);
                 self.tell_leader(now, &id, &mut out);
             }
             Event::Deregistered(id) => {
                 let change = self.directory.remove(now, &id);
-                self.directory_changed(now, change.as_slice(), &mut out);
+                self.directory_changed(change.as_slice(), &mut out);
             }
             Event::StoreLost => self.store_lost(),
             Event::StoreHeard => self.store_heard(now),
@@ -175,14 +175,12 @@
                 fence,
                 is_succession,
             } => self.claimed(now, fence, is_succession),
-            Event::ClaimFailed => {}
             Event::Datagram(datagram) => {
                 if let Some(message) = self.members.receive(now, datagram) {
                     self.message(now, message, &mut out);
                 }
             }
             Event::Wanted { service, wanted } => self.wanted(now, service, wanted, &mut out),
-            Event::Misdirected { .. } => {}
             Event::OrderAnswered {
                 endpoint,
                 order,
@@ -194,7 +192,7 @@
                 }
                 self.announce_one(now, &endpoint, &mut out);
             }
-            Event::Ready(holdings) => self.announce(now, holdings, &mut out),
+            Event::Ready(holdings) => self.announce(holdings, &mut out),
             Event::Drain => {
                 self.is_draining = true;
                 self.resign("draining");
@@ -209,7 +207,7 @@
         self.own_loads = loads;
         let gone = self.directory.expire(now);
         if !gone.is_empty() || self.directory.views(now) != self.published_endpoints {
-            self.directory_changed(now, &gone, out);
+            self.directory_changed(&gone, out);
         }
         if now >= self.due.status {
             let fleet = self.members.count() as u64;
@@ -281,7 +279,7 @@
         }
     }
 
-    fn directory_changed(&mut self, _now: Millis, changes: &[Change], out: &mut Vec<Effect>) {
+    fn directory_changed(&mut self, changes: &[Change], out: &mut Vec<Effect>) {
         for change in changes {
             let (event, id) = match change {
                 Change::Appeared(id) => ("endpoint.appeared", id),
@@ -334,7 +332,8 @@
                     leader.adapters_used(now, &used);
                 }
             }
-            Message::Status { .. } | Message::Limits(_) | Message::Demand(_) => {}
+            // Taken in by the members' table.
+            Message::Status { .. } | Message::Limits(_) | Message::Demand { .. } => {}
         }
     }
 }
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -74,8 +74,6 @@
         /// Whether another gateway held it before.
         is_succession: bool,
     },
-    /// The leader's key went to another gateway, or the outcome is not known.
-    ClaimFailed,
     /// Another gateway says something.
     Datagram(Datagram),
     /// A request waits for a model that no endpoint holds.
@@ -85,13 +83,6 @@
         /// The model.
         wanted: ModelRef,
     },
-    /// An endpoint does not hold what it was believed to hold, or is another one.
-    Misdirected {
-        /// The endpoint.
-        endpoint: Option<CompactString>,
-        /// The model.
-        wanted: ModelRef,
-    },
     /// An engine answered an order, or did not.
     OrderAnswered {
         /// The engine.
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -116,7 +116,7 @@
         for duty in duties.unwrap_or_default() {
             match duty {
                 Duty::Step(step) => out.push(Effect::Step(step)),
-                Duty::Announce(holdings) => self.announce(now, holdings, out),
+                Duty::Announce(holdings) => self.announce(holdings, out),
             }
         }
     }
@@ -194,11 +194,11 @@
             Some(leader.holdings_of(view))
         });
         if let Some(holdings) = holdings.flatten() {
-            self.announce(now, holdings, out);
+            self.announce(holdings, out);
         }
     }
 
-    pub(super) fn announce(&mut self, _now: Millis, holdings: Holdings, out: &mut Vec<Effect>) {
+    pub(super) fn announce(&mut self, holdings: Holdings, out: &mut Vec<Effect>) {
         if self.directory.set_holdings(holdings.clone()) {
             out.push(Effect::Publish);
         }
--- a/src/direct/control/limits.rs
+++ b/src/direct/control/limits.rs
@@ -21,16 +21,19 @@
     }
 
     pub(super) fn report_use(&self, out: &mut Vec<Effect>) {
-        // A table that is cut in two would replace itself: the sixteen
-        // workspaces and some hundred models of today fit one datagram each.
+        // A message holds some eighty workspaces; the rest would go unreported
+        // and count with an even part.
         let limits = split_rows(self.rates.limits()).into_iter().next();
         out.push(Effect::Broadcast(Message::Limits(
             limits.unwrap_or_default(),
         )));
-        let demand = split_rows(&self.rates.demand()).into_iter().next();
-        out.push(Effect::Broadcast(Message::Demand(
-            demand.unwrap_or_default(),
-        )));
+        let demand = split_rows(&self.rates.demand()).into_iter().enumerate();
+        out.extend(demand.map(|(at, uses)| {
+            Effect::Broadcast(Message::Demand {
+                is_first: at == 0,
+                uses,
+            })
+        }));
     }
 
     pub(super) fn divide_limits(&mut self, now: Millis, out: &mut Vec<Effect>) {
--- a/src/direct/duties.rs
+++ b/src/direct/duties.rs
@@ -165,7 +165,7 @@
     /// Tries to take the leader's key.
     pub async fn claim(self: Rc<Self>, expected: u64, is_succession: bool) {
         let Some(lease) = self.lease.get() else {
-            return self.tell(Event::ClaimFailed);
+            return;
         };
         let name = self.shared.settings.name.clone();
         let commit = Commit {
@@ -181,10 +181,8 @@
                 fence,
                 is_succession,
             }),
-            Err(error) => {
-                log_failed("claim", &error);
-                self.tell(Event::ClaimFailed);
-            }
+            // The next attempt starts from the key as it is then.
+            Err(error) => log_failed("claim", &error),
         }
     }
 
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -361,11 +361,6 @@
                 "request.endpoint_refused",
                 &[("status", res.status().as_u16().into())],
             );
-            if let (true, Some(wanted)) = (mark.is_misdirected, &job.ask.model) {
-                let endpoint = self.address_of(in_flight.key()).map(|(_, id)| id);
-                let wanted = wanted.clone();
-                self.shared.tell(Event::Misdirected { endpoint, wanted });
-            }
             return Attempt::NotRun(Code::Busy);
         }
         if mark.request.as_ref().is_some_and(|id| *id != job.ask.id) {
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -63,7 +63,12 @@
     /// What its callers ask of the workspaces' limits.
     Limits(Vec<WorkspaceUse>),
     /// What its callers ask of the models.
-    Demand(Vec<ModelUse>),
+    Demand {
+        /// Whether the table begins with this message.
+        is_first: bool,
+        /// Rows of the table.
+        uses: Vec<ModelUse>,
+    },
     /// Adapters that requests used lately, by their hashes.
     Adapters(Vec<u32>),
     /// A request waits for a model or an adapter; for the leader.
--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -21,8 +21,6 @@
     failures_in_row: u32,
     paused_until: Millis,
     failed_share: f32,
-    /// When the endpoint last sent anything.
-    heard: Millis,
     /// Since when answers are owed, while nothing was heard.
     owed_since: Option<Millis>,
 }
@@ -35,7 +33,6 @@
 
     /// Notes bytes of an answer.
     pub fn heard(&mut self, now: Millis, owes_more: bool) {
-        self.heard = now;
         self.owed_since = owes_more.then_some(now);
     }
 
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -143,8 +143,11 @@
                 heard.limits = Some(uses);
                 None
             }
-            Message::Demand(demand) => {
-                heard.demand = demand;
+            Message::Demand { is_first, uses } => {
+                if is_first {
+                    heard.demand.clear();
+                }
+                heard.demand.extend(uses);
                 None
             }
             other => Some(other),
