Log and measure how long events wait for the control thread

The logs could not tell the hypotheses of the incident apart: nothing showed how long a configuration waits between its arrival and its activation, nor what the control thread does meanwhile. New: control.delayed (longest wait, events left, time by kind of event, at most once a second and only above 250 ms), configuration.read (a version arrived, with its size) and the histogram rattanstall.control.wait. No decision changes.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -26,6 +26,7 @@
 pub mod loans;
 pub mod members;
 pub mod placement;
+pub mod queue;
 mod quota;
 pub mod rates;
 mod readiness;
@@ -41,6 +42,7 @@
 pub mod store;
 pub mod sync;
 pub mod view;
+pub mod workload;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -48,11 +50,10 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::error::{Error, Result};
 use crate::http::{Server, serve};
 use crate::metrics::Metrics;
@@ -61,6 +62,7 @@
 use dialect::Dialect;
 use front::Front;
 use internal::InternalServer;
+use queue::event_queue;
 use readiness::Readiness;
 use settings::Settings;
 use shared::Shared;
@@ -92,8 +94,15 @@
     );
     let metrics = Arc::new(Metrics::new("rattanstall-gateway")?);
     let settings = Arc::new(settings);
-    let (events, queue) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared::new(settings, dialect, metrics, events.clone()));
+    let clock = Clock::system();
+    let (events, queue) = event_queue(clock.clone());
+    let shared = Arc::new(Shared::new(
+        clock,
+        settings,
+        dialect,
+        metrics,
+        events.clone(),
+    ));
     let control = shared.clone();
     std::thread::Builder::new()
         .name("control".to_owned())
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -9,7 +9,6 @@
 use compact_str::{CompactString, format_compact};
 use http::StatusCode;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -20,6 +19,7 @@
 use super::internal::{CONFIGURATION_PATH, PEER_TOKEN_HEADER, peer_token};
 use super::ledger::ORDER_TIMEOUT;
 use super::members::Member;
+use super::queue::EventSender;
 use super::shared::Shared;
 use super::store::Store;
 use super::sync::{LEADER_KEY, MEMBER_PREFIX, SECRET_KEY};
@@ -39,7 +39,7 @@
     /// The client for the store.
     pub store: Rc<Store>,
     shared: Arc<Shared>,
-    events: UnboundedSender<Event>,
+    events: EventSender,
     boot: u64,
     lease: Cell<Option<Lease>>,
     secret: Cell<Option<Secret>>,
@@ -49,7 +49,7 @@
 
 impl BackgroundCalls {
     /// Creates the state without starting any task; see [`BackgroundCalls::start`].
-    pub fn new(store: Rc<Store>, shared: Arc<Shared>, events: UnboundedSender<Event>) -> Rc<Self> {
+    pub fn new(store: Rc<Store>, shared: Arc<Shared>, events: EventSender) -> Rc<Self> {
         Rc::new(Self {
             store,
             shared,
@@ -69,8 +69,7 @@
     }
 
     fn send_event(&self, event: Event) {
-        // Sending fails only while the process ends, when the reducer has stopped.
-        let _ = self.events.send(event);
+        self.events.send(event);
     }
 
     /// Keeps this gateway registered under a lease; opens a new lease when one is
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -124,6 +124,32 @@
     Stop,
 }
 
+impl Event {
+    /// The kind of event, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Tick(_) => "tick",
+            Self::Usage(_) => "usage",
+            Self::Configuration(_) => "configuration",
+            Self::Registrations(_) => "registrations",
+            Self::Registered(_) => "registered",
+            Self::Deregistered(_) => "deregistered",
+            Self::RegistryRead { .. } => "registry_read",
+            Self::StoreLost | Self::StoreAnswered => "store",
+            Self::Members(_) | Self::MemberPut(_) | Self::MemberRemoved(_) => "members",
+            Self::LeaderKey(_) | Self::LeadershipClaimed { .. } => "leader",
+            Self::LeaseHeld(_) | Self::LeaseLost => "lease",
+            Self::Datagram(datagram) => datagram.message.name(),
+            Self::ModelWanted { .. } => "model_wanted",
+            Self::TokensNeeded { .. } => "tokens_needed",
+            Self::OrderAnswered { .. } => "order_answered",
+            Self::Reported { .. } => "reported",
+            Self::HoldingsReady(_) => "holdings_ready",
+            Self::Drain | Self::Stop => "stop",
+        }
+    }
+}
+
 /// An action for the driver to carry out.
 #[derive(Clone, Debug)]
 pub enum Effect {
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -16,11 +14,13 @@
 use super::gossip::Message;
 use super::leader::ADAPTER_LOAD_TIME;
 use super::ledger::EngineCall;
+use super::queue::{EventQueue, EventSender, Queued};
 use super::shared::Shared;
 use super::store::Store;
 use super::sync::{
     ConfigurationFollower, FleetFollower, RegistrationFollower, RelayProgress, follow,
 };
+use super::workload::Workload;
 use crate::bucket::{Bucket, BucketCell};
 use crate::clock::Millis;
 use crate::error::{Error, Result};
@@ -37,11 +37,7 @@
 const TICKS_PER_USAGE_REPORT: u32 = 5;
 
 /// Runs the control thread until the process ends.
-pub fn run(
-    shared: Arc<Shared>,
-    events: UnboundedSender<Event>,
-    queue: UnboundedReceiver<Event>,
-) -> Result<()> {
+pub fn run(shared: Arc<Shared>, events: EventSender, queue: EventQueue) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -54,11 +50,11 @@
 
 struct Driver {
     shared: Arc<Shared>,
-    events: UnboundedSender<Event>,
+    events: EventSender,
 }
 
 impl Driver {
-    async fn drive(self, store: Rc<Store>, mut queue: UnboundedReceiver<Event>) {
+    async fn drive(self, store: Rc<Store>, mut queue: EventQueue) {
         let events = self.events.clone();
         let calls = BackgroundCalls::new(store.clone(), self.shared.clone(), events.clone());
         calls.start();
@@ -72,12 +68,19 @@
         spawn_local(follow(store, events.clone(), FleetFollower));
         spawn_local(tick(self.shared.clone(), events));
         let mut control = Control::new(self.shared.settings.clone());
-        while let Some(event) = queue.recv().await {
-            let effects = control.reduce(self.shared.now(), event);
+        let mut workload = Workload::default();
+        while let Some(Queued { event, sent_at }) = queue.next().await {
+            let kind = event.name();
+            let began = self.shared.now();
+            let effects = control.reduce(began, event);
             relay_progress.set(control.relay_progress());
             for effect in effects {
                 self.carry_out(&mut control, &calls, effect);
             }
+            let (waited, ended) = (began.since(sent_at), self.shared.now());
+            self.shared.metrics.record_control_wait(waited);
+            workload.record(kind, waited, ended.since(began));
+            workload.log_if_due(ended, queue.len());
         }
     }
 
@@ -128,8 +131,7 @@
                 let events = self.events.clone();
                 spawn_local(async move {
                     sleep(ADAPTER_LOAD_TIME.as_duration()).await;
-                    // Sending fails only while the process ends.
-                    let _ = events.send(Event::HoldingsReady(holdings));
+                    events.send(Event::HoldingsReady(holdings));
                 });
             }
         }
@@ -229,7 +231,7 @@
 }
 
 /// Sends tick events to the reducer, and local usage every few ticks.
-async fn tick(shared: Arc<Shared>, events: UnboundedSender<Event>) {
+async fn tick(shared: Arc<Shared>, events: EventSender) {
     let mut ticks = interval(TICK_INTERVAL.as_duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut count: u32 = 0;
@@ -241,7 +243,7 @@
             batch.push(Event::Usage(local_usage(&shared)));
         }
         for event in batch {
-            if events.send(event).is_err() {
+            if !events.send(event) {
                 return;
             }
         }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -106,6 +106,23 @@
     Holdings(Vec<Holdings>),
 }
 
+impl Message {
+    /// The kind of message, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Status { .. } => "peer_status",
+            Self::Limits(_) => "peer_limits",
+            Self::Borrow { .. } => "peer_borrow",
+            Self::Lend { .. } => "peer_lend",
+            Self::Demand { .. } => "peer_demand",
+            Self::Adapters(_) => "peer_adapters",
+            Self::Wanted { .. } => "peer_wanted",
+            Self::Registry(_) => "peer_registry",
+            Self::Holdings(_) => "peer_holdings",
+        }
+    }
+}
+
 /// A datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Datagram {
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -6,10 +6,11 @@
 
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use super::control::Event;
 use super::dialect::Dialect;
+use super::queue::EventSender;
 use super::request::ModelRef;
 use super::settings::Settings;
 use super::view::{LoadTable, View};
@@ -51,7 +52,7 @@
     own_loads: Mutex<LoadTable>,
     demand: Mutex<Vec<ModelDemand>>,
     adapters: Mutex<Vec<u32>>,
-    events: mpsc::UnboundedSender<Event>,
+    events: EventSender,
     draining: watch::Sender<bool>,
     draining_since: AtomicU64,
     open_requests: AtomicU64,
@@ -63,13 +64,14 @@
 impl Shared {
     /// Creates the state of a process that has just started.
     pub fn new(
+        clock: Clock,
         settings: Arc<Settings>,
         dialect: Arc<dyn Dialect>,
         metrics: Arc<Metrics>,
-        events: mpsc::UnboundedSender<Event>,
+        events: EventSender,
     ) -> Self {
         Self {
-            clock: Clock::system(),
+            clock,
             settings,
             dialect,
             metrics,
@@ -204,8 +206,7 @@
 
     /// Sends an event to the control thread.
     pub fn send_event(&self, event: Event) {
-        // Sending fails only while the process ends, when the reducer has stopped.
-        let _ = self.events.send(event);
+        self.events.send(event);
     }
 
     /// Whether the process is stopping.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
 use super::control::{Event, LeaderRecord};
 use super::dialect::{Item, Page, StoreError};
 use super::members::Member;
+use super::queue::EventSender;
 use super::store::Store;
 use crate::clock::{Clock, Millis};
 use crate::journal;
@@ -65,6 +65,14 @@
         match store.dialect().decode_configuration(value) {
             Ok(mut document) => {
                 document.raw = value.clone();
+                journal::write(
+                    "configuration.read",
+                    &[
+                        ("version", document.version.into()),
+                        ("revision", item.revision.into()),
+                        ("bytes", value.len().into()),
+                    ],
+                );
                 Some(Event::Configuration(Arc::new(document)))
             }
             Err(error) => {
@@ -246,7 +254,7 @@
 
 /// Follows a prefix until the process ends: reads a full list, watches from its
 /// revision, and reads a new list whenever a watch fails.
-pub async fn follow<F: Follower>(store: Rc<Store>, events: UnboundedSender<Event>, follower: F) {
+pub async fn follow<F: Follower>(store: Rc<Store>, events: EventSender, follower: F) {
     let prefix = follower.prefix(&store);
     let mut retry_delay = MIN_RETRY_DELAY;
     loop {
@@ -254,13 +262,13 @@
             Ok(page) => page,
             Err(error) => {
                 log_failure(&prefix, "read", &error);
-                send(&events, Event::StoreLost);
+                events.send(Event::StoreLost);
                 sleep(retry_delay.as_duration()).await;
                 retry_delay = Millis((retry_delay.0 * 2).min(MAX_RETRY_DELAY.0));
                 continue;
             }
         };
-        send(&events, Event::StoreAnswered);
+        events.send(Event::StoreAnswered);
         let revision = page.revision;
         if revision < follower.known_revision() {
             // This list is older than the changes that the leader has relayed.
@@ -269,10 +277,10 @@
         }
         retry_delay = MIN_RETRY_DELAY;
         for event in follower.on_list(&store, page) {
-            send(&events, event);
+            events.send(event);
         }
         if let Some(event) = follower.on_caught_up(revision, true) {
-            send(&events, event);
+            events.send(event);
         }
         watch(&store, &events, &follower, &prefix, revision).await;
     }
@@ -280,7 +288,7 @@
 
 async fn watch<F: Follower>(
     store: &Store,
-    events: &UnboundedSender<Event>,
+    events: &EventSender,
     follower: &F,
     prefix: &str,
     mut revision: u64,
@@ -298,11 +306,11 @@
                 let items = follower.relevant_changes(page.items);
                 for item in items.into_iter().filter(|i| i.revision > known) {
                     if let Some(event) = follower.on_change(store, item) {
-                        send(events, event);
+                        events.send(event);
                     }
                 }
                 if let Some(event) = follower.on_caught_up(revision, false) {
-                    send(events, event);
+                    events.send(event);
                 }
             }
             Err(error) => {
@@ -323,8 +331,3 @@
         ],
     );
 }
-
-fn send(events: &UnboundedSender<Event>, event: Event) {
-    // Fails only while the process exits, after control has stopped.
-    let _ = events.send(event);
-}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -22,6 +22,7 @@
     tokens: Counter<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
+    control_wait: Histogram<f64>,
 }
 
 impl Metrics {
@@ -62,6 +63,10 @@
                 "rattanstall.request.duration",
                 "Time to the end of the answer",
             ),
+            control_wait: histogram(
+                "rattanstall.control.wait",
+                "Time that an event waits for the control thread",
+            ),
             registry,
             provider,
         })
@@ -102,6 +107,11 @@
         self.duration.record(secs(elapsed), &labels);
     }
 
+    /// Records how long an event waited for the control thread.
+    pub fn record_control_wait(&self, waited: Millis) {
+        self.control_wait.record(secs(waited), &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
