--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -67,6 +67,8 @@
     generation: u64,
     published_endpoints: Vec<EndpointView>,
     behind_since: Option<Millis>,
+    /// Number of decisions as leader so far.
+    decisions: u64,
     /// Number of loan requests so far; rotates the lenders.
     loan_requests: usize,
     due: Due,
@@ -108,6 +110,7 @@
             generation: 0,
             published_endpoints: Vec::new(),
             behind_since: None,
+            decisions: 0,
             loan_requests: 0,
             due: Due::default(),
             settings,
@@ -126,6 +129,11 @@
         Some(leader.term())
     }
 
+    /// The number of times that this gateway decided on placement as leader.
+    pub fn decisions(&self) -> u64 {
+        self.decisions
+    }
+
     /// The other gateways.
     pub fn members(&self) -> &Members {
         &self.members
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -120,6 +120,7 @@
         if self.leader_term(now).is_none() {
             return;
         }
+        self.decisions += 1;
         let actions = self.with_leader(now, |leader, input| leader.decide(now, input));
         for action in actions.unwrap_or_default() {
             match action {
