A gateway that the store refuses keeps asking peers for the configuration

What callers would see: requests handled by a configuration that is out of date, keys that were withdrawn among them, for as long as the store refuses a gateway.

Cause: peers send their versions to registered gateways only. A gateway whose lease lapsed, because the store refuses its renewals, is no longer registered; no report reaches it, so it never learns that a newer version exists and pulls none.

Change: while the store does not answer, a gateway asks one peer after the other, each 500 ms, for a configuration newer than its own; a peer without one answers 204. One small call a gateway and interval, spread over the peers, whatever the size of the fleet, and only while the store is away. configuration.pull_failed tells peer and error.

--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -16,7 +16,7 @@
 use super::control::Event;
 use super::dialect::{Lease, ModelOrder, StoreError, Transaction};
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, Message, SECRET_BYTES, Secret, decode, encode};
-use super::internal::{CONFIGURATION_PATH, PEER_TOKEN_HEADER, peer_token};
+use super::internal::{PEER_TOKEN_HEADER, newer_configuration, peer_token};
 use super::ledger::ORDER_TIMEOUT;
 use super::members::Member;
 use super::queue::EventSender;
@@ -253,20 +253,22 @@
         at.ok().map(|at| endpoints[at].registration.address)
     }
 
-    /// Fetches the configuration of another gateway.
-    pub async fn pull_configuration(self: Rc<Self>, peer: SocketAddr) {
+    /// Fetches the configuration of another gateway if it is newer than a version.
+    pub async fn pull_configuration(self: Rc<Self>, peer: SocketAddr, known_version: u64) {
         let Some(secret) = self.secret.get() else {
             return;
         };
         let mut req = http::Request::new(Bytes::new());
-        *req.uri_mut() = http::Uri::from_static(CONFIGURATION_PATH);
+        *req.uri_mut() = newer_configuration(known_version);
         if let Ok(token) = http::HeaderValue::from_str(&peer_token(&secret)) {
             req.headers_mut().insert(PEER_TOKEN_HEADER, token);
         }
         let client = RefCell::new(CallClient::new(peer));
-        let Ok((StatusCode::OK, body)) = call(&client, req, PULL_TIMEOUT).await else {
-            journal::write("configuration.pull_failed", &[]);
-            return;
+        let body = match call(&client, req, PULL_TIMEOUT).await {
+            Ok((StatusCode::OK, body)) => body,
+            Ok((StatusCode::NO_CONTENT, _)) => return,
+            Ok((status, _)) => return log_pull_failure(peer, status.as_str()),
+            Err(error) => return log_pull_failure(peer, &error.to_string()),
         };
         match self.store.dialect().decode_configuration(&body) {
             Ok(document) => {
@@ -369,6 +371,16 @@
     }
 }
 
+fn log_pull_failure(peer: SocketAddr, error: &str) {
+    journal::write(
+        "configuration.pull_failed",
+        &[
+            ("peer", (&peer.to_string()).into()),
+            ("error", error.into()),
+        ],
+    );
+}
+
 fn log_store_failure(call: &str, error: &StoreError) {
     journal::write(
         "store.call_failed",
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -36,6 +36,9 @@
 const BEHIND_TOLERANCE: Millis = Millis(200);
 /// Interval between requests to peers for their configuration.
 const PULL_INTERVAL: Millis = Millis(400);
+/// Interval between these requests while the store does not answer and no peer reports
+/// a newer version. Several fit the time in which a configuration has to be in force.
+const CHECK_INTERVAL: Millis = Millis(500);
 /// Interval between `limit.parts` log lines.
 const SHARES_LOG_INTERVAL: Millis = Millis(1_000);
 /// Delay between attempts to claim the leader key, and additional delay for each
@@ -67,6 +70,8 @@
     generation: u64,
     published_endpoints: Vec<EndpointView>,
     behind_since: Option<Millis>,
+    /// Number of peers asked for their configuration so far; rotates the peers.
+    checked_peers: usize,
     decisions: Decisions,
     /// Number of loan requests so far; rotates the lenders.
     loan_requests: usize,
@@ -108,6 +113,7 @@
             generation: 0,
             published_endpoints: Vec::new(),
             behind_since: None,
+            checked_peers: 0,
             decisions: Decisions::default(),
             loan_requests: 0,
             due: Due::default(),
@@ -288,6 +294,7 @@
         let newer = self.members.with_newer_version(now, self.version());
         let Some(peer) = newer else {
             self.behind_since = None;
+            self.check_peers(now, out);
             return;
         };
         let since = *self.behind_since.get_or_insert(now);
@@ -297,6 +304,18 @@
         }
     }
 
+    /// Asks the peers in turn for a newer configuration while the store does not answer.
+    /// Peers send no reports to a gateway whose lease has lapsed.
+    fn check_peers(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if !self.is_store_lost || now < self.due.pull {
+            return;
+        }
+        self.due.pull = now + CHECK_INTERVAL;
+        self.checked_peers += 1;
+        let peer = self.members.in_turn(self.checked_peers);
+        out.extend(peer.map(|peer| Effect::PullConfiguration(peer.address)));
+    }
+
     fn directory_changed(&mut self, changes: &[Change], out: &mut Vec<Effect>) {
         for change in changes {
             let (event, id) = match change {
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -188,7 +188,7 @@
     Broadcast(Message),
     /// Send a message to one gateway.
     Send(SocketAddr, Message),
-    /// Fetch the configuration from a gateway.
+    /// Fetch the configuration from a gateway if it has a newer one than this one.
     PullConfiguration(SocketAddr),
     /// Try to claim the leader key.
     ClaimLeadership {
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -112,7 +112,7 @@
             }
             Effect::Send(to, message) => calls.send(&[to], message),
             Effect::PullConfiguration(peer) => {
-                spawn_local(calls.clone().pull_configuration(peer));
+                spawn_local(calls.clone().pull_configuration(peer, control.version()));
             }
             Effect::ClaimLeadership {
                 expected,
--- a/src/direct/internal.rs
+++ b/src/direct/internal.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hmac::{Hmac, KeyInit as _, Mac as _};
-use http::{HeaderName, StatusCode};
+use http::{HeaderName, StatusCode, Uri};
 use serde_json::{Value, json};
 use sha2::Sha256;
 
@@ -15,9 +15,24 @@
 
 /// The path from which other gateways fetch the configuration.
 pub const CONFIGURATION_PATH: &str = "/configuration";
+/// The query key with the version that the asking gateway has.
+const AFTER_KEY: &str = "after";
 /// The header with which a gateway authenticates to another gateway.
 pub const PEER_TOKEN_HEADER: HeaderName = HeaderName::from_static("x-fleet-token");
 
+/// The path and query that fetch the configuration if it is newer than a version.
+pub fn newer_configuration(known_version: u64) -> Uri {
+    let uri = format!("{CONFIGURATION_PATH}?{AFTER_KEY}={known_version}");
+    // Always succeeds: the path and a number are valid.
+    uri.parse().unwrap_or_default()
+}
+
+/// The version that the asking gateway has; `None` if it does not say.
+fn known_version(uri: &Uri) -> Option<u64> {
+    let (key, version) = uri.query()?.split_once('=')?;
+    (key == AFTER_KEY).then(|| version.parse().ok())?
+}
+
 /// Returns the token with which gateways authenticate to each other: a MAC of the
 /// path, made with the secret that the gateways share.
 pub fn peer_token(secret: &Secret) -> String {
@@ -38,8 +53,9 @@
         Self { shared }
     }
 
-    /// Responds with the configuration as the operator wrote it. Only gateways may
-    /// read it, because it contains callers' keys.
+    /// Responds with the configuration as the operator wrote it, or without content if
+    /// the asking gateway has it. Only gateways may read it, because it contains callers'
+    /// keys.
     fn configuration(&self, req: &Request) -> Response {
         let presented = req.header(PEER_TOKEN_HEADER.as_str());
         let is_member = self
@@ -47,7 +63,11 @@
             .peer_token()
             .is_some_and(|t| presented == Some(t.as_str()));
         let document = self.shared.view().document.clone();
+        let known_version = known_version(&req.uri);
         match document {
+            Some(document) if is_member && known_version >= Some(document.version) => {
+                buffered(StatusCode::NO_CONTENT, "text/plain", "")
+            }
             Some(document) if is_member => buffered(
                 StatusCode::OK,
                 "application/octet-stream",
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -267,6 +267,16 @@
         (newest.report.version > version).then_some(&newest.member)
     }
 
+    /// The gateway whose turn it is to be asked. The turns of different gateways begin
+    /// at different peers.
+    pub fn in_turn(&self, turn: usize) -> Option<&Member> {
+        let first = self
+            .peers
+            .partition_point(|p| p.member.name < self.own_name);
+        let at = (first + turn).checked_rem(self.peers.len())?;
+        Some(&self.peers[at].member)
+    }
+
     /// The number of gateways that precede this one by name and are not draining.
     pub fn rank(&self) -> usize {
         let earlier = self.peers.iter().filter(|p| p.member.name < self.own_name);
--- a/tests/direct_backlog.rs
+++ b/tests/direct_backlog.rs
@@ -1,8 +1,8 @@
 //! The control thread under more events than it can process at once. Time is
 //! simulated: the clock moves by a fixed cost for each decision of the leader.
 
-#[path = "support/leader.rs"]
-mod leader;
+#[path = "support/fleet.rs"]
+mod fleet;
 #[path = "support/registration.rs"]
 mod registration;
 
@@ -13,7 +13,7 @@
 use rattanstall::direct::request::ModelRef;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
-use leader::{GATEWAYS, MODELS, document, elected_leader, from_peer, model};
+use fleet::{GATEWAYS, MODELS, document, elected_leader, from_peer, model};
 
 /// Processor time of one decision on a small instance.
 const DECISION_COST: Millis = Millis(40);
--- a/tests/support/leader.rs
+++ b/tests/support/fleet.rs
@@ -1,4 +1,5 @@
-//! A builder of a gateway's control state that leads a fleet.
+//! Builders of the control state of one gateway in a fleet.
+#![allow(dead_code)] // Each test file uses some of them.
 
 use std::sync::Arc;
 
@@ -99,9 +100,9 @@
     })
 }
 
-/// The control state of a gateway that was elected leader at time 0 and whose lease
-/// does not end.
-pub fn elected_leader() -> Control {
+/// The control state of a gateway that has read everything from the store at time 0
+/// and whose lease does not end.
+pub fn registered_gateway() -> Control {
     let mut control = Control::new(Arc::new(settings()));
     let engines = (0..ENGINES).map(|at| {
         let held = [model(at), model(at + ENGINES)];
@@ -114,12 +115,19 @@
         Event::Members(members.collect()),
         Event::LeaderKey(None),
         Event::LeaseHeld(Millis(u64::MAX)),
-        Event::LeadershipClaimed {
-            fence: 1,
-            is_succession: false,
-        },
     ] {
         control.reduce(Millis::ZERO, event);
     }
     control
 }
+
+/// The control state of a gateway that was elected leader at time 0.
+pub fn elected_leader() -> Control {
+    let mut control = registered_gateway();
+    let claimed = Event::LeadershipClaimed {
+        fence: 1,
+        is_succession: false,
+    };
+    control.reduce(Millis::ZERO, claimed);
+    control
+}
