Ask another peer for the configuration when one did not answer

What callers would see: an out-of-date configuration at a gateway that the store does not serve, for as long as one certain peer does not answer.

Change: the peers with the newest version are asked in turn, beginning at a different one for each gateway.

Red before: an_unanswered_request_for_the_configuration_goes_to_another_peer_next (the same peer three times). The tests of with_newer_version pass a turn and assert the same as before.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -71,7 +71,7 @@
     published_endpoints: Vec<EndpointView>,
     behind_since: Option<Millis>,
     /// Number of peers asked for their configuration so far; rotates the peers.
-    checked_peers: usize,
+    asked_peers: usize,
     decisions: Decisions,
     /// Number of loan requests so far; rotates the lenders.
     loan_requests: usize,
@@ -113,7 +113,7 @@
             generation: 0,
             published_endpoints: Vec::new(),
             behind_since: None,
-            checked_peers: 0,
+            asked_peers: 0,
             decisions: Decisions::default(),
             loan_requests: 0,
             due: Due::default(),
@@ -291,8 +291,8 @@
 
     /// Pulls a newer configuration from a peer if the store does not deliver it in time.
     fn catch_up(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let newer = self.members.with_newer_version(now, self.version());
-        let Some(peer) = newer else {
+        let (version, turn) = (self.version(), self.asked_peers);
+        let Some(peer) = self.members.with_newer_version(now, version, turn) else {
             self.behind_since = None;
             self.check_peers(now, out);
             return;
@@ -300,6 +300,7 @@
         let since = *self.behind_since.get_or_insert(now);
         if now.since(since) >= BEHIND_TOLERANCE && now >= self.due.pull {
             self.due.pull = now + PULL_INTERVAL;
+            self.asked_peers += 1;
             out.push(Effect::PullConfiguration(peer.address));
         }
     }
@@ -311,8 +312,8 @@
             return;
         }
         self.due.pull = now + CHECK_INTERVAL;
-        self.checked_peers += 1;
-        let peer = self.members.in_turn(self.checked_peers);
+        self.asked_peers += 1;
+        let peer = self.members.in_turn(self.asked_peers);
         out.extend(peer.map(|peer| Effect::PullConfiguration(peer.address)));
     }
 
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -259,22 +259,29 @@
             .flat_map(|p| &p.report.demand)
     }
 
-    /// The reachable gateway with the newest configuration, if that is newer than `version`.
-    pub fn with_newer_version(&self, now: Millis, version: u64) -> Option<&Member> {
+    /// A reachable gateway with the newest configuration, if that is newer than `version`:
+    /// another one for each turn.
+    pub fn with_newer_version(&self, now: Millis, version: u64, turn: usize) -> Option<&Member> {
         let is_reachable = |p: &&Peer| now.since(p.report.received_at) < PEER_TIMEOUT;
-        let newer = self.peers.iter().filter(is_reachable);
-        let newest = newer.max_by_key(|p| p.report.version)?;
-        (newest.report.version > version).then_some(&newest.member)
+        let reachable = self.peers.iter().filter(is_reachable);
+        let newest = reachable.clone().map(|p| p.report.version).max()?;
+        if newest <= version {
+            return None;
+        }
+        let holders = reachable.filter(|p| p.report.version == newest);
+        self.pick(&holders.collect::<Vec<_>>(), turn)
     }
 
-    /// The gateway whose turn it is to be asked. The turns of different gateways begin
-    /// at different peers.
+    /// The gateway whose turn it is to be asked.
     pub fn in_turn(&self, turn: usize) -> Option<&Member> {
-        let first = self
-            .peers
-            .partition_point(|p| p.member.name < self.own_name);
-        let at = (first + turn).checked_rem(self.peers.len())?;
-        Some(&self.peers[at].member)
+        self.pick(&self.peers.iter().collect::<Vec<_>>(), turn)
+    }
+
+    /// Picks a peer by turn. The turns of different gateways begin at different peers.
+    fn pick<'a>(&self, peers: &[&'a Peer], turn: usize) -> Option<&'a Member> {
+        let first = peers.partition_point(|p| p.member.name < self.own_name);
+        let at = (first + turn).checked_rem(peers.len())?;
+        Some(&peers[at].member)
     }
 
     /// The number of gateways that precede this one by name and are not draining.
--- a/tests/direct_configuration.rs
+++ b/tests/direct_configuration.rs
@@ -9,8 +9,9 @@
 
 use rattanstall::clock::Millis;
 use rattanstall::direct::control::{Control, Effect, Event};
+use rattanstall::direct::gossip::Message;
 
-use fleet::registered_gateway;
+use fleet::{GATEWAYS, from_peer, registered_gateway};
 
 /// The operator's bound for a configuration to be in force.
 const MAX_DELAY: Millis = Millis(2_000);
@@ -47,3 +48,28 @@
     let asked = asked_peers(&mut control, Millis(40_000), Millis(50_000));
     assert_eq!(asked, [], "the store answers again");
 }
+
+// Guards against asking the same peer again and again for a newer configuration while
+// that peer does not answer.
+#[test]
+fn an_unanswered_request_for_the_configuration_goes_to_another_peer_next() {
+    let mut control = registered_gateway();
+    for at in (0..4_000).step_by(100) {
+        for peer in 1..GATEWAYS {
+            let status = Message::Status {
+                version: 2,
+                is_draining: false,
+                is_first: true,
+                loads: Vec::new(),
+            };
+            control.reduce(Millis(at), from_peer(peer, at + 1, status));
+        }
+        control.reduce(Millis(at), Event::Tick(Vec::new()));
+    }
+    let mut asked = asked_peers(&mut control, Millis(4_000), Millis(5_200));
+    let requests = asked.len();
+    asked.sort();
+    asked.dedup();
+    assert!(requests >= 2, "{requests} requests");
+    assert_eq!(asked.len(), requests, "some peer was asked twice");
+}
--- a/tests/direct_parts.rs
+++ b/tests/direct_parts.rs
@@ -324,15 +324,15 @@
     let mut members = Members::new("me".into());
     let now = Millis(10);
     assert_eq!(members.receive(now, datagram(5)), None);
-    assert!(members.with_newer_version(now, 0).is_none());
+    assert!(members.with_newer_version(now, 0, 0).is_none());
     members.put(Member {
         name: "peer".into(),
         address: ([127, 0, 0, 1], 1).into(),
         boot: 7,
     });
     members.receive(now, datagram(5));
-    assert!(members.with_newer_version(now, 2).is_some());
-    assert!(members.with_newer_version(now, 3).is_none());
+    assert!(members.with_newer_version(now, 2, 0).is_some());
+    assert!(members.with_newer_version(now, 3, 0).is_none());
     let mut late = datagram(4);
     late.message = Message::Adapters(vec![1]);
     assert_eq!(members.receive(now, late), None);
