Follow the configuration's own key, not what shares its prefix

What callers would see: an invalid or a wrong configuration taken, and the right ones ignored from then on if its version is higher.

Cause: lists and watches of the store go by prefix, and every item under the configuration's key as prefix was decoded as the configuration; of several changes only the newest was kept, whichever key it had.

Change: a follower names the keys that it follows; the configuration's follows one.

Red before: a_value_beside_the_configuration_is_not_taken_for_it (timed out waiting for the second version).

--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -31,6 +31,10 @@
 pub trait Follower {
     /// The prefix to follow.
     fn prefix(&self, store: &Store) -> CompactString;
+    /// Whether a key under the prefix is one that is followed.
+    fn follows(&self, _store: &Store, _key: &str) -> bool {
+        true
+    }
     /// Converts a full list.
     fn on_list(&self, store: &Store, page: Page) -> Vec<Event>;
     /// Converts one change.
@@ -88,6 +92,10 @@
         store.dialect().configuration_key().into()
     }
 
+    fn follows(&self, store: &Store, key: &str) -> bool {
+        key == store.dialect().configuration_key()
+    }
+
     fn on_list(&self, store: &Store, page: Page) -> Vec<Event> {
         let items = page.items.iter();
         items.filter_map(|item| Self::decode(store, item)).collect()
@@ -258,7 +266,7 @@
     let prefix = follower.prefix(&store);
     let mut retry_delay = MIN_RETRY_DELAY;
     loop {
-        let page = match store.read_range(&prefix).await {
+        let mut page = match store.read_range(&prefix).await {
             Ok(page) => page,
             Err(error) => {
                 log_failure(&prefix, "read", &error);
@@ -276,6 +284,7 @@
             continue;
         }
         retry_delay = MIN_RETRY_DELAY;
+        page.items.retain(|i| follower.follows(&store, &i.key));
         for event in follower.on_list(&store, page) {
             events.send(event);
         }
@@ -300,8 +309,9 @@
             continue;
         }
         match store.watch(prefix, revision, WATCH_TIMEOUT).await {
-            Ok(page) => {
+            Ok(mut page) => {
                 revision = page.revision.max(revision);
+                page.items.retain(|i| follower.follows(store, &i.key));
                 let known = follower.known_revision();
                 let items = follower.relevant_changes(page.items);
                 for item in items.into_iter().filter(|i| i.revision > known) {
