Publish a view only when a registration changes something

What callers saw: long waits for a model, and part of the leader's overload.

Cause: engines renew their registrations each second or so, and each renewal published a new view at the gateway that watches them. That wakes every waiting request of that gateway; each looks for an endpoint in vain and reports its need to the leader again.

Change: a registration that equals the known one changes nothing and publishes nothing. Views that change with time alone are published by the tick, as before.

Red before: a_renewed_registration_publishes_no_new_view.

--- a/src/direct/control/relayed.rs
+++ b/src/direct/control/relayed.rs
@@ -25,12 +25,14 @@
         out: &mut Vec<Effect>,
     ) {
         let id = registration.id.clone();
-        if self.leader.is_some() && !self.directory.has_current(&registration) {
-            self.registry
-                .queue(RegistryChange::Put(registration.clone()));
+        if !self.directory.has_current(&registration) {
+            if self.leader.is_some() {
+                self.registry
+                    .queue(RegistryChange::Put(registration.clone()));
+            }
+            let change = self.directory.put(now, registration);
+            self.directory_changed(change.as_slice(), out);
         }
-        let change = self.directory.put(now, registration);
-        self.directory_changed(change.as_slice(), out);
         self.update_leader(now, &id, out);
     }
 
--- a/tests/direct_backlog.rs
+++ b/tests/direct_backlog.rs
@@ -13,7 +13,8 @@
 use rattanstall::direct::request::ModelRef;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
-use fleet::{GATEWAYS, MODELS, document, elected_leader, from_peer, model};
+use fleet::{ENGINES, GATEWAYS, MODELS, document, elected_leader, from_peer, model};
+use registration::registration;
 
 /// Processor time of one decision on a small instance.
 const DECISION_COST: Millis = Millis(40);
@@ -136,6 +137,22 @@
     assert_eq!(control.decisions() - before, 1);
 }
 
+// Guards against waking all waiting requests of a gateway, which then report their needs
+// to the leader again, each time that an engine renews its registration.
+#[test]
+fn a_renewed_registration_publishes_no_new_view() {
+    let mut control = elected_leader();
+    control.view(Millis::ZERO);
+    let renewed = registration("e000", 1, &[&model(0), &model(ENGINES)]);
+    let effects = control.reduce(Millis(1_000), Event::Registered(renewed));
+    let is_published = effects.iter().any(|e| matches!(e, Effect::Publish));
+    assert!(!is_published);
+    let changed = registration("e000", 1, &[&model(1)]);
+    let effects = control.reduce(Millis(1_000), Event::Registered(changed));
+    let is_published = effects.iter().any(|e| matches!(e, Effect::Publish));
+    assert!(is_published);
+}
+
 // Guards against a configuration that waits behind messages and ticks.
 #[tokio::test]
 async fn a_configuration_overtakes_messages_that_wait() {
