Leader: build the inputs of a decision for decisions only

Cause: each renewed registration, report and answer of an engine had the leader collect all endpoints, loads and demand of the fleet, up to twice, to look up one endpoint.

Change: these events look up the one endpoint (Directory::view_of). What the leader knows, orders and announces stays the same.

--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -106,12 +106,10 @@
 
     /// Passes a changed registration to the leader and announces what the engine holds.
     pub(super) fn update_leader(&mut self, now: Millis, id: &str, out: &mut Vec<Effect>) {
-        self.with_leader(now, |leader, input| {
-            let found = input.endpoints.iter().find(|e| e.registration.id == id);
-            if let Some(view) = found {
-                leader.on_registration(view);
-            }
-        });
+        let view = self.directory.view_of(now, id);
+        if let (Some(leader), Some(view)) = (&mut self.leader, view) {
+            leader.on_registration(&view);
+        }
         self.announce_endpoint(now, id, out);
     }
 
@@ -123,11 +121,13 @@
         outcome: Option<OrderOutcome>,
         out: &mut Vec<Effect>,
     ) {
-        let answered = self.with_leader(now, |leader, input| {
-            leader.on_answer(now, input, endpoint, order, outcome)
-        });
-        if let Some(holdings) = answered.flatten() {
-            out.push(Effect::AnnounceAfterLoad(holdings));
+        let view = self.directory.view_of(now, endpoint);
+        let (Some(leader), Some(document)) = (&mut self.leader, &self.document) else {
+            return;
+        };
+        let is_accepted = leader.on_answer(now, document, endpoint, order, outcome);
+        if let Some(view) = view.filter(|_| is_accepted && order.adapter.is_some()) {
+            out.push(Effect::AnnounceAfterLoad(leader.holdings_of(&view)));
         }
     }
 
@@ -180,14 +180,9 @@
 
     /// Announces what an engine holds to all gateways, if this one leads.
     pub(super) fn announce_endpoint(&mut self, now: Millis, endpoint: &str, out: &mut Vec<Effect>) {
-        let holdings = self.with_leader(now, |leader, input| {
-            let view = input
-                .endpoints
-                .iter()
-                .find(|e| e.registration.id == endpoint)?;
-            Some(leader.holdings_of(view))
-        });
-        if let Some(holdings) = holdings.flatten() {
+        let view = self.directory.view_of(now, endpoint);
+        if let (Some(leader), Some(view)) = (&mut self.leader, view) {
+            let holdings = leader.holdings_of(&view);
             self.announce(holdings, out);
         }
     }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -239,21 +239,20 @@
 
     /// The endpoints that requests may use, sorted by identifier.
     pub fn views(&self, now: Millis) -> Vec<EndpointView> {
+        let usable = self.entries.iter().filter(|e| self.is_usable(now, e));
+        usable.map(Entry::view).collect()
+    }
+
+    /// One of the endpoints that requests may use.
+    pub fn view_of(&self, now: Millis, id: &str) -> Option<EndpointView> {
+        let entry = &self.entries[self.find(id).ok()?];
+        self.is_usable(now, entry).then(|| entry.view())
+    }
+
+    fn is_usable(&self, now: Millis, entry: &Entry) -> bool {
         let drain = Millis(self.grace.drain.0 / ASSIGNMENT_GRACE_DIVISOR);
-        let usable = self.entries.iter().filter(|e| {
-            let is_drained = e.leaving_since.is_some_and(|at| now.since(at) > drain);
-            !is_drained || e.is_lapsed
-        });
-        usable
-            .map(|e| EndpointView {
-                registration: e.registration.clone(),
-                usability: match e.leaving_since {
-                    Some(_) => Usability::Leaving,
-                    None => Usability::Open,
-                },
-                holdings: e.holdings.clone(),
-            })
-            .collect()
+        let is_drained = entry.leaving_since.is_some_and(|at| now.since(at) > drain);
+        !is_drained || entry.is_lapsed
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
@@ -263,6 +262,17 @@
 }
 
 impl Entry {
+    fn view(&self) -> EndpointView {
+        EndpointView {
+            registration: self.registration.clone(),
+            usability: match self.leaving_since {
+                Some(_) => Usability::Leaving,
+                None => Usability::Open,
+            },
+            holdings: self.holdings.clone(),
+        }
+    }
+
     /// Merges the registered models with those that the leader announced. The
     /// announced adapters take precedence: an engine registers its models soon after
     /// a change, but rarely its adapters.
--- a/src/direct/leader.rs
+++ b/src/direct/leader.rs
@@ -209,17 +209,17 @@
         self.ledger.issue(now, endpoint, order).map(Action::Call)
     }
 
-    /// Handles the answer to an order. Returns the engine's new holdings if an
-    /// accepted adapter order changed them.
+    /// Handles the answer to an order. Returns whether the engine carries it out, or has
+    /// carried it out.
     pub fn on_answer(
         &mut self,
         now: Millis,
-        input: &LeaderInput<'_>,
+        document: &Document,
         endpoint: &str,
         order: &ModelOrder,
         outcome: Option<OrderOutcome>,
-    ) -> Option<Holdings> {
-        let load_time = input.document.services.iter().find_map(|s| {
+    ) -> bool {
+        let load_time = document.services.iter().find_map(|s| {
             let spec = s.engine.as_ref()?;
             Some(spec.model(&order.model)?.load_time)
         });
@@ -239,12 +239,7 @@
                 ("outcome", outcome_name(outcome).into()),
             ],
         );
-        order.adapter.as_ref()?;
-        let view = input
-            .endpoints
-            .iter()
-            .find(|e| e.registration.id == endpoint)?;
-        is_accepted.then(|| self.holdings_of(view))
+        is_accepted
     }
 
     /// Handles an engine's report.
