--- a/standins/src/bin/rattanstall-experiment/main.rs
+++ b/standins/src/bin/rattanstall-experiment/main.rs
@@ -1,6 +1,7 @@
 //! Compares policies on the same generated arrivals in virtual time, runs the
 //! share ledgers under random failures and measures the cost of control tasks.
 
+mod leader;
 mod limits;
 mod overload;
 mod slopes;
@@ -12,7 +13,10 @@
 
 fn main() -> ExitCode {
     let options = [
-        ("name", "the experiment: limits, overload, slopes, soak"),
+        (
+            "name",
+            "the experiment: leader, limits, overload, slopes, soak",
+        ),
         ("seed", "seed of arrivals and failures (default 1)"),
         ("minutes", "real time of a soak (default 1)"),
         ("seconds", "virtual time of one run (default 900)"),
@@ -22,6 +26,7 @@
     let seed = value(&args, "seed", 1);
     let seconds = value(&args, "seconds", 900);
     match value(&args, "name", "limits".to_owned()).as_str() {
+        "leader" => leader::run(),
         "limits" => limits::run(seed, seconds),
         "overload" => overload::run(seed, seconds),
         "soak" => {
@@ -33,7 +38,9 @@
         }
         "slopes" => slopes::run(),
         other => {
-            eprintln!("--name: \"{other}\" is unknown; allowed: limits, overload, slopes, soak");
+            eprintln!(
+                "--name: \"{other}\" is unknown; allowed: leader, limits, overload, slopes, soak"
+            );
             return ExitCode::from(2);
         }
     }
