Report a need for a model once per interval, however many requests wait

What callers saw: part of the leader's overload; its share grows with the fleet.

Cause: every waiting request reported its need to the leader, and again at each change of the view that wakes it, so that the messages grow with requests times changes.

Change: a gateway reports one need at once and then at most each 100 ms, the interval at which the leader decides anyway; a need repeated meanwhile is reported at the end of the interval, so none is dropped.

Red before: requests_that_wait_for_one_model_are_reported_together (100 messages for 100 requests).

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -4,6 +4,7 @@
 mod event;
 mod leadership;
 mod limits;
+mod needs;
 mod relayed;
 
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 
 use decisions::Decisions;
 pub use event::{Effect, Event, LeaderRecord, LocalUsage};
+use needs::Needs;
 
 /// Interval between load reports in a fleet of up to [`STATUS_BASE_GATEWAYS`].
 const STATUS_INTERVAL: Millis = Millis(100);
@@ -73,6 +75,7 @@
     /// Number of peers asked for their configuration so far; rotates the peers.
     asked_peers: usize,
     decisions: Decisions,
+    needs: Needs,
     /// Number of loan requests so far; rotates the lenders.
     loan_requests: usize,
     due: Due,
@@ -115,6 +118,7 @@
             behind_since: None,
             asked_peers: 0,
             decisions: Decisions::default(),
+            needs: Needs::default(),
             loan_requests: 0,
             due: Due::default(),
             settings,
@@ -251,6 +255,7 @@
         self.relay_registry(now, out);
         self.catch_up(now, out);
         self.campaign(now, out);
+        self.repeat_needs(now, out);
         self.schedule_due_decision(now, out);
     }
 
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use compact_str::CompactString;
 
 use super::{CLAIM_DELAY, Control, Effect, LEASE_MARGIN, LeaderRecord};
 use crate::clock::Millis;
@@ -10,7 +9,6 @@
 use crate::direct::directory::Holdings;
 use crate::direct::gossip::Message;
 use crate::direct::leader::{Leader, LeaderInput, LeaderTerm};
-use crate::direct::request::ModelRef;
 use crate::journal;
 
 impl Control {
@@ -160,24 +158,6 @@
         ))
     }
 
-    pub(super) fn model_wanted(
-        &mut self,
-        now: Millis,
-        service: CompactString,
-        wanted: ModelRef,
-        out: &mut Vec<Effect>,
-    ) {
-        if let Some(leader) = &mut self.leader {
-            leader.note_wanted(now, service, wanted);
-            self.request_decision(now, out);
-            return;
-        }
-        if let Some(address) = self.leader_address() {
-            let message = Message::Wanted { service, wanted };
-            out.push(Effect::Send(address, message));
-        }
-    }
-
     /// Announces what an engine holds to all gateways, if this one leads.
     pub(super) fn announce_endpoint(&mut self, now: Millis, endpoint: &str, out: &mut Vec<Effect>) {
         let view = self.directory.view_of(now, endpoint);
--- a/tests/direct_backlog.rs
+++ b/tests/direct_backlog.rs
@@ -7,13 +7,16 @@
 mod registration;
 
 use rattanstall::clock::{Clock, Millis};
-use rattanstall::direct::control::{Control, Effect, Event};
+use rattanstall::direct::control::{Control, Effect, Event, LeaderRecord};
 use rattanstall::direct::gossip::Message;
 use rattanstall::direct::queue::{EventQueue, EventSender, Queued, event_queue};
 use rattanstall::direct::request::ModelRef;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
-use fleet::{ENGINES, GATEWAYS, MODELS, document, elected_leader, from_peer, model};
+use fleet::{
+    ENGINES, GATEWAYS, MODELS, document, elected_leader, from_peer, gateway, model,
+    registered_gateway,
+};
 use registration::registration;
 
 /// Processor time of one decision on a small instance.
@@ -137,6 +140,39 @@
     assert_eq!(control.decisions() - before, 1);
 }
 
+/// The needs that a gateway reports when this many requests for one model wait.
+fn reports(control: &mut Control, now: Millis, waiting: usize) -> usize {
+    let mut effects = Vec::new();
+    for _ in 0..waiting {
+        let wanted = ModelRef {
+            model: model(1),
+            adapter: Some("a1".into()),
+        };
+        let service = "s".into();
+        effects.extend(control.reduce(now, Event::ModelWanted { service, wanted }));
+    }
+    effects.extend(control.reduce(now, Event::Tick(Vec::new())));
+    let is_report = |e: &&Effect| matches!(e, Effect::Send(_, Message::Wanted { .. }));
+    effects.iter().filter(is_report).count()
+}
+
+// Guards against a report to the leader for each waiting request and each change that
+// wakes it. A need that is repeated within the interval is reported after it.
+#[test]
+fn requests_that_wait_for_one_model_are_reported_together() {
+    let mut control = registered_gateway();
+    let record = LeaderRecord {
+        holder: gateway(1),
+        revision: 1,
+    };
+    control.reduce(Millis::ZERO, Event::LeaderKey(Some(record)));
+    assert_eq!(reports(&mut control, Millis(1_000), 100), 1);
+    assert_eq!(reports(&mut control, Millis(1_050), 100), 0);
+    assert_eq!(reports(&mut control, Millis(1_100), 0), 1);
+    assert_eq!(reports(&mut control, Millis(1_200), 0), 0);
+    assert_eq!(reports(&mut control, Millis(1_250), 1), 1);
+}
+
 // Guards against waking all waiting requests of a gateway, which then report their needs
 // to the leader again, each time that an engine renews its registration.
 #[test]
