Leader: bound the pause after a decision

What callers would see: models that nobody loads for up to four times the length of a suspension.

Cause: the pause after a decision is a multiple of the time that it took, on a clock that counts suspensions.

Change: the pause is at most a second.

Red before: a_suspension_during_a_decision_does_not_stop_the_leader (no decision within a second after 7 s of suspension).

--- a/src/direct/control/decisions.rs
+++ b/src/direct/control/decisions.rs
@@ -9,6 +9,8 @@
 const DECISION_INTERVAL: Millis = Millis(100);
 /// Pause after a decision, as a multiple of the time that it took.
 const PAUSE_FACTOR: u64 = 4;
+/// The longest pause. The time that a decision took includes suspensions of the machine.
+const MAX_PAUSE: Millis = Millis(1_000);
 
 /// The schedule of the leader's decisions.
 #[derive(Clone, Debug, Default)]
@@ -85,7 +87,8 @@
     /// long is followed by a longer pause.
     pub fn note_processed(&mut self, ended: Millis, took: Millis) {
         if std::mem::take(&mut self.decisions.has_decided) {
-            self.decisions.not_before = ended + Millis(took.0 * PAUSE_FACTOR);
+            let pause = Millis(took.0 * PAUSE_FACTOR).min(MAX_PAUSE);
+            self.decisions.not_before = ended + pause;
         }
     }
 }
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-
 use super::{CLAIM_DELAY, Control, Effect, LEASE_MARGIN, LeaderRecord};
 use crate::clock::Millis;
 use crate::direct::dialect::{ModelOrder, OrderOutcome};
--- a/tests/direct_backlog.rs
+++ b/tests/direct_backlog.rs
@@ -189,6 +189,23 @@
     assert!(is_published);
 }
 
+// Guards against a leader that stops deciding for a multiple of the time for which its
+// machine was suspended.
+#[test]
+fn a_suspension_during_a_decision_does_not_stop_the_leader() {
+    let mut control = elected_leader();
+    control.reduce(Millis(1_000), Event::Tick(Vec::new()));
+    control.reduce(Millis(1_000), Event::Decide);
+    assert_eq!(control.decisions(), 1);
+    let (suspended, thawed_at) = (Millis(7_000), Millis(8_000));
+    control.note_processed(thawed_at, suspended);
+    for at in (0..=1_000).step_by(50) {
+        control.reduce(thawed_at + Millis(at), Event::Tick(Vec::new()));
+        control.reduce(thawed_at + Millis(at), Event::Decide);
+    }
+    assert_eq!(control.decisions(), 2);
+}
+
 // Guards against a configuration that waits behind messages and ticks.
 #[tokio::test]
 async fn a_configuration_overtakes_messages_that_wait() {
