Suspects: evidence of parts that end endpoints, and the blocks that follow from it

Pure decision that all gateways share. Each crash of an endpoint leaves as suspects the parts of the prompts that it was about to answer, without the last part of each; a part with which an answer gets under way is cleared. Not connected yet.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -222,6 +222,7 @@
             }
             Event::ModelWanted(need) => self.model_wanted(now, need, &mut out),
             Event::StreamSought(id) => self.seek_stream(id, &mut out),
+            Event::EndpointCrashed(_) | Event::PartsProgressed(_) => {}
             Event::OrderAnswered {
                 endpoint,
                 order,
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -16,6 +16,7 @@
 use crate::direct::members::Member;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
+use crate::direct::suspects::{CrashReport, PartProgress};
 use crate::direct::view::LoadTable;
 
 /// The content of the leader key in the store.
@@ -90,6 +91,10 @@
     ModelWanted(Need),
     /// A request goes on with a stream of which no record is known here.
     StreamSought(StreamId),
+    /// An endpoint ended while it was about to answer requests of this gateway.
+    EndpointCrashed(CrashReport),
+    /// Answers to prompts with watched parts got under way at this gateway.
+    PartsProgressed(Vec<PartProgress>),
     /// A request needs more tokens of a limit than this gateway has.
     TokensNeeded {
         /// The workspace.
@@ -142,6 +147,8 @@
             Self::Datagram(datagram) => datagram.message.name(),
             Self::ModelWanted(_) => "model_wanted",
             Self::StreamSought(_) => "stream_sought",
+            Self::EndpointCrashed(_) => "endpoint_crashed",
+            Self::PartsProgressed(_) => "parts_progressed",
             Self::TokensNeeded { .. } => "tokens_needed",
             Self::OrderAnswered { .. } => "order_answered",
             Self::Reported { .. } => "reported",
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -28,7 +28,7 @@
 enum Lane {
     /// The configuration, this gateway's lease, the leader and the set of gateways.
     Fleet,
-    /// Registrations of endpoints.
+    /// Registrations and crashes of endpoints.
     Endpoints,
     /// Everything else: it may be late, and much of it supersedes what came before.
     Other,
@@ -53,7 +53,9 @@
         | Event::Deregistered(_)
         | Event::RegistryRead { .. }
         | Event::StoreLost
-        | Event::StoreAnswered => Lane::Endpoints,
+        | Event::StoreAnswered
+        | Event::EndpointCrashed(_)
+        | Event::PartsProgressed(_) => Lane::Endpoints,
         Event::Tick(_)
         | Event::Usage(_)
         | Event::Datagram(_)
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -10,6 +10,7 @@
 
 use super::control::Event;
 use super::dialect::Dialect;
+use super::part_table::PartTable;
 use super::queue::EventSender;
 use super::request::ModelRef;
 use super::settings::Settings;
@@ -48,6 +49,8 @@
     pub metrics: Arc<Metrics>,
     /// Which software version began a stream.
     pub streams: Streams,
+    /// Parts of prompts that are blocked or watched, and those answered here lately.
+    pub parts: PartTable,
     view: ArcSwap<View>,
     generation: watch::Sender<u64>,
     buckets: ArcSwap<Vec<Arc<BucketCell>>>,
@@ -79,6 +82,7 @@
             dialect,
             metrics,
             streams: Streams::default(),
+            parts: PartTable::default(),
             view: ArcSwap::default(),
             generation: watch::Sender::new(0),
             buckets: ArcSwap::default(),
--- /dev/null
+++ b/src/direct/suspects.rs
@@ -0,0 +1,324 @@
+//! Which parts of prompts end the endpoints that answer them.
+//!
+//! One part may end every endpoint that begins to answer it. All requests at the
+//! endpoint break with it, so one crash alone leaves many suspects. Every gateway
+//! collects the same evidence, its own and that of the others: the parts that
+//! endpoints were about to answer when they ended, and the parts with which an answer
+//! got under way. A part that explains several crashes, and with which no answer has
+//! got under way since, is blocked.
+//!
+//! Nothing here does I/O. Messages carry ages instead of times, because the clocks of
+//! gateways differ.
+
+mod block;
+mod score;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+pub use block::{Block, BlockCause, BlockState};
+
+use crate::clock::Millis;
+use block::BlockTable;
+
+/// How long evidence counts.
+pub const EVIDENCE_LIFETIME: Millis = Millis(24 * 3_600_000);
+/// How long a crash without suspects is kept: it only tells whether endpoints ended at
+/// the same time for another reason.
+const BARE_CRASH_LIFETIME: Millis = Millis(60_000);
+/// How long progress with a part that is in no crash is kept, for reports that arrive
+/// later.
+const PROGRESS_LIFETIME: Millis = Millis(120_000);
+/// Where the evidence's time begins, so that what happened before a gateway started has
+/// a time as well.
+const ORIGIN: Millis = Millis(30 * 24 * 3_600_000);
+/// The most crashes that are kept.
+const MAX_CRASHES: usize = 256;
+/// The most parts of one crash that are kept.
+pub const MAX_CRASH_PARTS: usize = 128;
+/// The most parts whose progress is kept.
+const MAX_PROGRESS: usize = 4_096;
+
+/// Identifies a part of a prompt by its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
+/// Identifies one run of an endpoint that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashId(pub u64);
+
+impl CrashId {
+    /// The end of the run of an endpoint that began at `started_at`.
+    pub fn of_run(endpoint: &str, started_at: u64) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64_with_seed(
+            endpoint.as_bytes(),
+            started_at,
+        ))
+    }
+}
+
+/// What one gateway saw of the end of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The run that ended. Reports of several gateways about it are merged.
+    pub id: CrashId,
+    /// The endpoint's identifier, for operators.
+    pub endpoint: CompactString,
+    /// Its software version.
+    pub version: CompactString,
+    /// How long ago it ended.
+    pub age: Millis,
+    /// Parts that it was about to answer, without the last part of each prompt and
+    /// without parts that the gateway saw answered lately.
+    pub parts: Vec<PartId>,
+}
+
+/// An answer to a prompt with this part got under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartProgress {
+    /// The part.
+    pub part: PartId,
+    /// How long ago.
+    pub age: Millis,
+}
+
+/// All that a gateway knows, for another gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Crashes with parts that are still suspect.
+    pub crashes: Vec<CrashReport>,
+    /// Progress with parts of these crashes.
+    pub progress: Vec<PartProgress>,
+    /// Blocks, those that were lifted too.
+    pub blocks: Vec<Block>,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    id: CrashId,
+    endpoint: CompactString,
+    version: CompactString,
+    at: Millis,
+    /// Sorted.
+    parts: Vec<PartId>,
+}
+
+/// The evidence of one gateway, and the blocks that follow from it.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    /// Sorted by identifier.
+    crashes: Vec<Crash>,
+    /// When an answer with a part last got under way, sorted by part.
+    progress: Vec<(PartId, Millis)>,
+    blocks: BlockTable,
+    /// Whether the evidence has changed since the last decision, or will count for
+    /// more as time passes.
+    is_open: bool,
+}
+
+impl Evidence {
+    /// Adds a report of a crash. Returns whether it adds anything.
+    pub fn record_crash(&mut self, now: Millis, report: &CrashReport) -> bool {
+        let at = now + ORIGIN - report.age;
+        let mut parts: Vec<PartId> = report.parts.clone();
+        parts.retain(|part| self.progress_of(*part).is_none_or(|seen| seen < at));
+        let index = match self.crashes.binary_search_by_key(&report.id, |c| c.id) {
+            Ok(index) => index,
+            Err(_) if report.age >= EVIDENCE_LIFETIME => return false,
+            Err(index) => {
+                let crash = Crash {
+                    id: report.id,
+                    endpoint: report.endpoint.clone(),
+                    version: report.version.clone(),
+                    at,
+                    parts: Vec::new(),
+                };
+                self.crashes.insert(index, crash);
+                self.is_open = true;
+                self.add_parts(index, &parts);
+                self.drop_surplus_crashes(report.id);
+                return true;
+            }
+        };
+        let has_new = self.add_parts(index, &parts);
+        self.is_open |= has_new;
+        has_new
+    }
+
+    fn add_parts(&mut self, index: usize, parts: &[PartId]) -> bool {
+        let known = &mut self.crashes[index].parts;
+        let before = known.len();
+        for part in parts {
+            if known.len() < MAX_CRASH_PARTS
+                && let Err(at) = known.binary_search(part)
+            {
+                known.insert(at, *part);
+            }
+        }
+        known.len() > before
+    }
+
+    /// Records that an answer with a part got under way. Returns whether it says more
+    /// than what was known.
+    pub fn record_progress(&mut self, now: Millis, progress: PartProgress) -> bool {
+        let now = now + ORIGIN;
+        let (part, at) = (progress.part, now - progress.age);
+        match self.progress.binary_search_by_key(&part, |(p, _)| *p) {
+            Ok(index) if self.progress[index].1 >= at => return false,
+            Ok(index) => self.progress[index].1 = at,
+            Err(index) => self.progress.insert(index, (part, at)),
+        }
+        for crash in self.crashes.iter_mut().filter(|c| c.at <= at) {
+            if let Ok(index) = crash.parts.binary_search(&part) {
+                crash.parts.remove(index);
+            }
+        }
+        self.blocks.record_progress(now, part, at);
+        if self.progress.len() > MAX_PROGRESS {
+            self.drop_oldest_progress();
+        }
+        self.is_open = true;
+        true
+    }
+
+    /// When an answer with a part last got under way.
+    fn progress_of(&self, part: PartId) -> Option<Millis> {
+        let found = self.progress.binary_search_by_key(&part, |(p, _)| *p);
+        found.ok().map(|index| self.progress[index].1)
+    }
+
+    /// Takes over a block or its end from another gateway or from an operator. Returns
+    /// whether it is newer than what was known.
+    pub fn merge_block(&mut self, now: Millis, block: &Block) -> bool {
+        self.blocks.merge(now + ORIGIN, block)
+    }
+
+    /// Blocks or unblocks a part on an operator's behalf. The crashes so far no longer
+    /// count against a part that is unblocked.
+    pub fn set_by_operator(&mut self, now: Millis, part: PartId, state: BlockState) -> Block {
+        if state == BlockState::Lifted {
+            let progress = PartProgress {
+                part,
+                age: Millis::ZERO,
+            };
+            self.record_progress(now, progress);
+        }
+        let now = now + ORIGIN;
+        self.blocks.set(now, now, part, state, BlockCause::Operator)
+    }
+
+    /// Blocks the parts that the evidence now speaks against, and returns the new blocks.
+    pub fn decide(&mut self, now: Millis) -> Vec<Block> {
+        if !std::mem::take(&mut self.is_open) {
+            return Vec::new();
+        }
+        let now = now + ORIGIN;
+        let mut new = Vec::new();
+        loop {
+            let accused = score::accused(now, self);
+            if accused.is_empty() {
+                break;
+            }
+            for score::Accused { part, last, ended } in accused {
+                let cause = BlockCause::Crashes(ended);
+                new.push(self.blocks.set(now, last, part, BlockState::Blocked, cause));
+            }
+        }
+        let newest = self.crashes.iter().map(|c| c.at).max();
+        self.is_open = newest.is_some_and(|at| now.since(at) <= score::EPISODE_GAP);
+        new
+    }
+
+    /// The parts that are blocked, sorted.
+    pub fn blocked(&self) -> Vec<PartId> {
+        self.blocks.blocked().collect()
+    }
+
+    /// The parts of which gateways report progress at once, sorted: those that are
+    /// blocked, and those that some crash speaks against.
+    pub fn watched(&self) -> Vec<PartId> {
+        let suspects = self.crashes.iter().flat_map(|c| c.parts.iter().copied());
+        let mut all: Vec<PartId> = self.blocks.blocked().chain(suspects).collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    /// All blocks, those that were lifted too, sorted by part.
+    pub fn blocks(&self, now: Millis) -> Vec<Block> {
+        self.blocks.aged(now + ORIGIN)
+    }
+
+    /// What another gateway has to know.
+    pub fn snapshot(&self, now: Millis) -> Snapshot {
+        let now = now + ORIGIN;
+        let suspected = self.crashes.iter().filter(|c| !c.parts.is_empty());
+        let crashes = suspected.map(|c| CrashReport {
+            id: c.id,
+            endpoint: c.endpoint.clone(),
+            version: c.version.clone(),
+            age: now.since(c.at),
+            parts: c.parts.clone(),
+        });
+        let watched = self.watched();
+        let progress = self.progress.iter().filter(|(part, at)| {
+            watched.binary_search(part).is_ok() || now.since(*at) < BARE_CRASH_LIFETIME
+        });
+        Snapshot {
+            crashes: crashes.collect(),
+            progress: progress
+                .map(|(part, at)| PartProgress {
+                    part: *part,
+                    age: now.since(*at),
+                })
+                .collect(),
+            blocks: self.blocks.aged(now),
+        }
+    }
+
+    /// Whether there is nothing that another gateway has to know.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.iter().all(|c| c.parts.is_empty()) && self.blocks.is_empty()
+    }
+
+    /// Drops what no longer counts.
+    pub fn expire(&mut self, now: Millis) {
+        let now = now + ORIGIN;
+        self.crashes.retain(|c| {
+            let lifetime = match c.parts.is_empty() {
+                true => BARE_CRASH_LIFETIME,
+                false => EVIDENCE_LIFETIME,
+            };
+            now.since(c.at) < lifetime
+        });
+        self.progress
+            .retain(|(_, at)| now.since(*at) < PROGRESS_LIFETIME);
+        self.blocks.expire(now);
+    }
+
+    /// Drops the oldest crash if there are too many, but not the one just added; crashes
+    /// without suspects go first.
+    fn drop_surplus_crashes(&mut self, added: CrashId) {
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let candidates = self.crashes.iter().enumerate();
+        let oldest = candidates
+            .filter(|(_, c)| c.id != added)
+            .min_by_key(|(_, c)| (!c.parts.is_empty(), c.at));
+        if let Some((index, _)) = oldest {
+            self.crashes.remove(index);
+        }
+    }
+
+    /// Drops the older half, so that this is done rarely.
+    fn drop_oldest_progress(&mut self) {
+        let mut times: Vec<Millis> = self.progress.iter().map(|(_, at)| *at).collect();
+        let middle = times.len() / 2;
+        let (_, bound, _) = times.select_nth_unstable(middle);
+        let bound = *bound;
+        self.progress.retain(|(_, at)| *at > bound);
+    }
+}
