--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -26,16 +26,22 @@
 /// How long a crash without suspects is kept: it only tells whether endpoints ended at
 /// the same time for another reason.
 const BARE_CRASH_LIFETIME: Millis = Millis(60_000);
-/// How long progress with a part that is in no crash is kept, for reports that arrive
-/// later.
+/// How long all crashes are kept, because they tell what happened at the same time.
+const RECENT_TIME: Millis = Millis(1_000);
+/// How long progress is kept, for reports of crashes that arrive later.
 const PROGRESS_LIFETIME: Millis = Millis(120_000);
+/// Subtracted from the time of progress that is passed on, more than a message takes.
+/// Otherwise its time would move on each time gateways exchange it, past later crashes.
+const RELAY_MARGIN: Millis = Millis(200);
 /// Where the evidence's time begins, so that what happened before a gateway started has
 /// a time as well.
 const ORIGIN: Millis = Millis(30 * 24 * 3_600_000);
 /// The most crashes that are kept.
-const MAX_CRASHES: usize = 256;
-/// The most parts of one crash that are kept.
-pub const MAX_CRASH_PARTS: usize = 128;
+const MAX_CRASHES: usize = 512;
+/// The most parts of one crash that are kept, so that its report fits a datagram.
+pub const MAX_CRASH_PARTS: usize = 96;
+/// The most groups of parts that one decision blocks.
+const MAX_ROUNDS: usize = 16;
 /// The most parts whose progress is kept.
 const MAX_PROGRESS: usize = 4_096;
 
@@ -100,9 +106,35 @@
     id: CrashId,
     endpoint: CompactString,
     version: CompactString,
+    /// By the report that puts it earliest, because messages take time.
     at: Millis,
-    /// Sorted.
+    /// Parts that are suspect, sorted.
     parts: Vec<PartId>,
+    /// Parts with which an answer got under way since, sorted. Reports that arrive
+    /// later do not make them suspect again.
+    cleared: Vec<PartId>,
+}
+
+impl Crash {
+    /// Clears a part with which an answer got under way since.
+    fn clear(&mut self, part: PartId) {
+        let Ok(index) = self.parts.binary_search(&part) else {
+            return;
+        };
+        self.parts.remove(index);
+        if self.cleared.len() < MAX_CRASH_PARTS
+            && let Err(index) = self.cleared.binary_search(&part)
+        {
+            self.cleared.insert(index, part);
+        }
+    }
+
+    /// What matters least is dropped first.
+    fn importance(&self, now: Millis) -> (bool, bool, Millis) {
+        let has_suspects = !self.parts.is_empty();
+        let is_recent = now.since(self.at) < RECENT_TIME;
+        (has_suspects || is_recent, has_suspects, self.at)
+    }
 }
 
 /// The evidence of one gateway, and the blocks that follow from it.
@@ -122,10 +154,8 @@
     /// Adds a report of a crash. Returns whether it adds anything.
     pub fn record_crash(&mut self, now: Millis, report: &CrashReport) -> bool {
         let at = now + ORIGIN - report.age;
-        let mut parts: Vec<PartId> = report.parts.clone();
-        parts.retain(|part| self.progress_of(*part).is_none_or(|seen| seen < at));
-        let index = match self.crashes.binary_search_by_key(&report.id, |c| c.id) {
-            Ok(index) => index,
+        let (index, is_new) = match self.crashes.binary_search_by_key(&report.id, |c| c.id) {
+            Ok(index) => (index, false),
             Err(_) if report.age >= EVIDENCE_LIFETIME => return false,
             Err(index) => {
                 let crash = Crash {
@@ -134,30 +164,70 @@
                     version: report.version.clone(),
                     at,
                     parts: Vec::new(),
+                    cleared: Vec::new(),
                 };
                 self.crashes.insert(index, crash);
-                self.is_open = true;
-                self.add_parts(index, &parts);
-                self.drop_surplus_crashes(report.id);
-                return true;
+                (index, true)
             }
         };
-        let has_new = self.add_parts(index, &parts);
-        self.is_open |= has_new;
-        has_new
+        self.crashes[index].at = self.crashes[index].at.min(at);
+        let has_new = self.add_parts(index, &report.parts);
+        self.clear_answered(index);
+        if is_new {
+            self.drop_surplus_crashes(now + ORIGIN, report.id);
+        }
+        self.is_open |= is_new || has_new;
+        is_new || has_new
     }
 
+    /// Adds parts to a crash. A part that is suspect in another crash takes the place of
+    /// one that is not, so that callers who name many parts cannot hide it.
     fn add_parts(&mut self, index: usize, parts: &[PartId]) -> bool {
-        let known = &mut self.crashes[index].parts;
-        let before = known.len();
+        let mut has_new = false;
         for part in parts {
-            if known.len() < MAX_CRASH_PARTS
-                && let Err(at) = known.binary_search(part)
-            {
+            let crash = &self.crashes[index];
+            let is_cleared = crash.cleared.binary_search(part).is_ok();
+            if is_cleared || crash.parts.binary_search(part).is_ok() {
+                continue;
+            }
+            if crash.parts.len() >= MAX_CRASH_PARTS {
+                if !self.is_suspect_elsewhere(index, *part) {
+                    continue;
+                }
+                let known = self.crashes[index].parts.iter();
+                let Some(least) = known
+                    .clone()
+                    .position(|p| !self.is_suspect_elsewhere(index, *p))
+                else {
+                    continue;
+                };
+                self.crashes[index].parts.remove(least);
+            }
+            let known = &mut self.crashes[index].parts;
+            if let Err(at) = known.binary_search(part) {
                 known.insert(at, *part);
+                has_new = true;
             }
         }
-        known.len() > before
+        has_new
+    }
+
+    fn is_suspect_elsewhere(&self, index: usize, part: PartId) -> bool {
+        let mut others = self.crashes.iter().enumerate();
+        others.any(|(at, c)| at != index && c.parts.binary_search(&part).is_ok())
+    }
+
+    /// Clears the parts of a crash with which an answer got under way since.
+    fn clear_answered(&mut self, index: usize) {
+        let crash = &self.crashes[index];
+        let answered = crash
+            .parts
+            .iter()
+            .copied()
+            .filter(|part| self.progress_of(*part).is_some_and(|at| at >= crash.at));
+        for part in answered.collect::<Vec<_>>() {
+            self.crashes[index].clear(part);
+        }
     }
 
     /// Records that an answer with a part got under way. Returns whether it says more
@@ -171,9 +241,7 @@
             Err(index) => self.progress.insert(index, (part, at)),
         }
         for crash in self.crashes.iter_mut().filter(|c| c.at <= at) {
-            if let Ok(index) = crash.parts.binary_search(&part) {
-                crash.parts.remove(index);
-            }
+            crash.clear(part);
         }
         self.blocks.record_progress(now, part, at);
         if self.progress.len() > MAX_PROGRESS {
@@ -192,21 +260,30 @@
     /// Takes over a block or its end from another gateway or from an operator. Returns
     /// whether it is newer than what was known.
     pub fn merge_block(&mut self, now: Millis, block: &Block) -> bool {
-        self.blocks.merge(now + ORIGIN, block)
+        if !self.blocks.merge(now + ORIGIN, block) {
+            return false;
+        }
+        if block.state == BlockState::Lifted {
+            self.forgive(now, block.part, block.since);
+        }
+        self.is_open = true;
+        true
+    }
+
+    /// Crashes up to some time ago no longer speak against a part.
+    fn forgive(&mut self, now: Millis, part: PartId, age: Millis) {
+        self.record_progress(now, PartProgress { part, age });
     }
 
     /// Blocks or unblocks a part on an operator's behalf. The crashes so far no longer
-    /// count against a part that is unblocked.
+    /// count against a part that is unblocked; later ones do. A part that an operator
+    /// blocked stays blocked until an operator unblocks it.
     pub fn set_by_operator(&mut self, now: Millis, part: PartId, state: BlockState) -> Block {
+        let block = self.blocks.set_by_operator(now + ORIGIN, part, state);
         if state == BlockState::Lifted {
-            let progress = PartProgress {
-                part,
-                age: Millis::ZERO,
-            };
-            self.record_progress(now, progress);
+            self.forgive(now, part, Millis::ZERO);
         }
-        let now = now + ORIGIN;
-        self.blocks.set(now, now, part, state, BlockCause::Operator)
+        block
     }
 
     /// Blocks the parts that the evidence now speaks against, and returns the new blocks.
@@ -216,21 +293,32 @@
         }
         let now = now + ORIGIN;
         let mut new = Vec::new();
-        loop {
+        for _ in 0..MAX_ROUNDS {
             let accused = score::accused(now, self);
-            if accused.is_empty() {
+            let before = new.len();
+            new.extend(accused.into_iter().filter_map(|accused| {
+                let cause = BlockCause::Crashes(accused.ended);
+                let state = BlockState::Blocked;
+                self.blocks
+                    .set(now, accused.last, accused.part, state, cause)
+            }));
+            if new.len() == before {
                 break;
             }
-            for score::Accused { part, last, ended } in accused {
-                let cause = BlockCause::Crashes(ended);
-                new.push(self.blocks.set(now, last, part, BlockState::Blocked, cause));
-            }
         }
         let newest = self.crashes.iter().map(|c| c.at).max();
-        self.is_open = newest.is_some_and(|at| now.since(at) <= score::EPISODE_GAP);
+        self.is_open = newest.is_some_and(|at| now.since(at) <= score::SETTLE_TIME);
         new
     }
 
+    /// Blocks of which one request may now be sent as a trial, at most one for good: the
+    /// block is returned as tried, and all gateways have to know before a request with no
+    /// other blocked part is let through. An answer then lifts the block. To be called at
+    /// one gateway only.
+    pub fn grant_trials(&mut self, now: Millis) -> Vec<Block> {
+        self.blocks.grant_trials(now + ORIGIN)
+    }
+
     /// The parts that are blocked, sorted.
     pub fn blocked(&self) -> Vec<PartId> {
         self.blocks.blocked().collect()
@@ -271,7 +359,7 @@
             progress: progress
                 .map(|(part, at)| PartProgress {
                     part: *part,
-                    age: now.since(*at),
+                    age: now.since(*at) + RELAY_MARGIN,
                 })
                 .collect(),
             blocks: self.blocks.aged(now),
@@ -287,7 +375,7 @@
     pub fn expire(&mut self, now: Millis) {
         let now = now + ORIGIN;
         self.crashes.retain(|c| {
-            let lifetime = match c.parts.is_empty() {
+            let lifetime = match c.parts.is_empty() && c.cleared.is_empty() {
                 true => BARE_CRASH_LIFETIME,
                 false => EVIDENCE_LIFETIME,
             };
@@ -298,17 +386,16 @@
         self.blocks.expire(now);
     }
 
-    /// Drops the oldest crash if there are too many, but not the one just added; crashes
-    /// without suspects go first.
-    fn drop_surplus_crashes(&mut self, added: CrashId) {
+    /// Drops the least important crash if there are too many, but not the one just added.
+    fn drop_surplus_crashes(&mut self, now: Millis, added: CrashId) {
         if self.crashes.len() <= MAX_CRASHES {
             return;
         }
         let candidates = self.crashes.iter().enumerate();
-        let oldest = candidates
+        let least = candidates
             .filter(|(_, c)| c.id != added)
-            .min_by_key(|(_, c)| (!c.parts.is_empty(), c.at));
-        if let Some((index, _)) = oldest {
+            .min_by_key(|(_, c)| c.importance(now));
+        if let Some((index, _)) = least {
             self.crashes.remove(index);
         }
     }
--- a/src/direct/suspects/block.rs
+++ b/src/direct/suspects/block.rs
@@ -1,5 +1,7 @@
 //! Blocks of parts, as all gateways share them.
 
+use std::cmp::Ordering;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -8,10 +10,19 @@
 
 /// How long a block lasts after it was last needed, and how long its end is remembered.
 const BLOCK_LIFETIME: Millis = Millis(7 * 24 * 3_600_000);
+/// How long a block is kept in any case, so that surplus blocks do not replace each other.
+const MIN_BLOCK_TIME: Millis = Millis(60_000);
+/// When a trial is due for a block that was set together with others, of which some
+/// probably are wrong.
+const TRIAL_DELAY_TIED: Millis = Millis(10_000);
+/// When a trial is due for any other block: the endpoints may have been mended.
+const TRIAL_DELAY: Millis = Millis(600_000);
 /// The most blocks that are kept.
-const MAX_BLOCKS: usize = 256;
+const MAX_BLOCKS: usize = 512;
 /// The most endpoints that a block names.
 const MAX_NAMED_ENDPOINTS: usize = 8;
+/// Where the count of operators' decisions begins in a generation.
+const OPERATOR_SHIFT: u32 = 16;
 
 /// Whether requests with a part are refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -27,18 +38,31 @@
 pub enum BlockCause {
     /// These endpoints ended when they were about to answer the part.
     Crashes(Vec<CompactString>),
+    /// As before, and one request has been let through since as a trial.
+    Tried(Vec<CompactString>),
     /// An answer with the part got under way.
     Progress,
-    /// An operator decided. Only an operator changes it again.
+    /// An operator decided.
     Operator,
 }
 
+impl BlockCause {
+    /// The endpoints that ended.
+    pub fn endpoints(&self) -> &[CompactString] {
+        match self {
+            Self::Crashes(endpoints) | Self::Tried(endpoints) => endpoints,
+            Self::Progress | Self::Operator => &[],
+        }
+    }
+}
+
 /// The state of one part. A newer state has a higher generation, at all gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Block {
     /// The part.
     pub part: PartId,
-    /// Increases with each change of the state.
+    /// Increases with each change of the state. The upper half counts the decisions of
+    /// operators, so that these win over what gateways decide at the same time.
     pub generation: u32,
     /// Whether requests with the part are refused.
     pub state: BlockState,
@@ -49,6 +73,19 @@
     pub since: Millis,
 }
 
+impl Block {
+    /// States with a higher rank replace those with a lower one, at all gateways.
+    fn rank(&self) -> (u32, &BlockCause, BlockState) {
+        (self.generation, &self.cause, self.state)
+    }
+
+    /// Whether the state no longer matters, if `since` is a time.
+    fn is_outdated(&self, now: Millis) -> bool {
+        let is_permanent = self.state == BlockState::Blocked && self.cause == BlockCause::Operator;
+        !is_permanent && now.since(self.since) >= BLOCK_LIFETIME
+    }
+}
+
 /// The blocks that one gateway knows, sorted by part. `since` holds times, not ages.
 #[derive(Clone, Debug, Default)]
 pub(super) struct BlockTable {
@@ -79,7 +116,8 @@
             .collect()
     }
 
-    /// Changes the state of a part as of a time and returns it with its age.
+    /// Changes the state of a part as of a time and returns it with its age, unless there
+    /// is no room.
     pub(super) fn set(
         &mut self,
         now: Millis,
@@ -87,44 +125,96 @@
         part: PartId,
         state: BlockState,
         mut cause: BlockCause,
-    ) -> Block {
+    ) -> Option<Block> {
         if let BlockCause::Crashes(endpoints) = &mut cause {
             endpoints.truncate(MAX_NAMED_ENDPOINTS);
         }
-        let generation = match self.find(part) {
-            Ok(at) => self.blocks[at].generation + 1,
-            Err(_) => 1,
-        };
         let block = Block {
             part,
-            generation,
+            generation: self.generation(part).saturating_add(1),
             state,
             cause,
             since: now.since(since),
         };
+        self.merge(now, &block).then_some(block)
+    }
+
+    /// Marks the blocks of which a trial is due as tried, and returns them.
+    pub(super) fn grant_trials(&mut self, now: Millis) -> Vec<Block> {
+        let due: Vec<Block> = self
+            .blocks
+            .iter()
+            .filter(|b| now.since(b.since) >= self.trial_delay(b))
+            .cloned()
+            .collect();
+        let tried = due.into_iter().filter_map(|b| match b.cause {
+            BlockCause::Crashes(endpoints) => {
+                let cause = BlockCause::Tried(endpoints);
+                self.set(now, b.since, b.part, b.state, cause)
+            }
+            _ => None,
+        });
+        tried.collect()
+    }
+
+    /// Parts that are blocked for the same crashes are in all of them.
+    fn trial_delay(&self, block: &Block) -> Millis {
+        let mut others = self.blocks.iter().filter(|b| b.part != block.part);
+        let endpoints = block.cause.endpoints();
+        match others.any(|b| b.cause.endpoints() == endpoints) {
+            true => TRIAL_DELAY_TIED,
+            false => TRIAL_DELAY,
+        }
+    }
+
+    /// Records an operator's decision and returns it with its age.
+    pub(super) fn set_by_operator(
+        &mut self,
+        now: Millis,
+        part: PartId,
+        state: BlockState,
+    ) -> Block {
+        let decisions = self.generation(part) >> OPERATOR_SHIFT;
+        let block = Block {
+            part,
+            generation: (decisions + 1).min(u16::MAX.into()) << OPERATOR_SHIFT,
+            state,
+            cause: BlockCause::Operator,
+            since: Millis::ZERO,
+        };
         self.merge(now, &block);
         block
     }
 
-    /// Takes over a state with its age, if it is newer than the known one.
+    fn generation(&self, part: PartId) -> u32 {
+        self.find(part)
+            .map_or(0, |index| self.blocks[index].generation)
+    }
+
+    /// Takes over a state with its age, if it is newer than the known one. Of the same
+    /// state the earlier time is kept, because messages take time.
     pub(super) fn merge(&mut self, now: Millis, block: &Block) -> bool {
         let new = Block {
             since: now - block.since,
             ..block.clone()
         };
-        let rank = |b: &Block| (b.generation, b.cause.clone(), b.state);
-        match self.find(block.part) {
-            Ok(at) if rank(&self.blocks[at]) >= rank(&new) => false,
-            Ok(at) => {
-                self.blocks[at] = new;
-                true
-            }
-            Err(at) => {
-                self.blocks.insert(at, new);
-                self.drop_surplus(block.part);
-                true
+        if new.is_outdated(now) {
+            return false;
+        }
+        let index = match self.find(block.part) {
+            Ok(index) => index,
+            Err(_) => return self.insert(now, new),
+        };
+        let known = &mut self.blocks[index];
+        match new.rank().cmp(&known.rank()) {
+            Ordering::Greater => *known = new,
+            Ordering::Equal => {
+                known.since = known.since.min(new.since);
+                return false;
             }
+            Ordering::Less => return false,
         }
+        true
     }
 
     /// Lifts a block that an answer contradicts.
@@ -140,23 +230,29 @@
     }
 
     pub(super) fn expire(&mut self, now: Millis) {
-        self.blocks
-            .retain(|b| now.since(b.since) < BLOCK_LIFETIME || b.cause == BlockCause::Operator);
+        self.blocks.retain(|b| !b.is_outdated(now));
     }
 
-    /// Drops the oldest block if there are too many, those that were lifted first, but
-    /// not the one just added.
-    fn drop_surplus(&mut self, added: PartId) {
-        if self.blocks.len() <= MAX_BLOCKS {
-            return;
-        }
-        let candidates = self.blocks.iter().enumerate();
-        let oldest = candidates
-            .filter(|(_, b)| b.part != added)
-            .min_by_key(|(_, b)| (b.state, b.since));
-        if let Some((index, _)) = oldest {
+    /// Adds a block. If there are too many, it replaces the oldest one, one that was
+    /// lifted before others and one that an operator set last.
+    fn insert(&mut self, now: Millis, block: Block) -> bool {
+        let is_operator = |b: &Block| b.cause == BlockCause::Operator;
+        if self.blocks.len() >= MAX_BLOCKS {
+            let known = self.blocks.iter().enumerate();
+            let oldest = known.min_by_key(|(_, b)| (b.state, is_operator(b), b.since));
+            let replaced = oldest.filter(|(_, b)| {
+                let is_old = now.since(b.since) >= MIN_BLOCK_TIME && !is_operator(b);
+                b.state == BlockState::Lifted || is_old || is_operator(&block)
+            });
+            let Some((index, _)) = replaced else {
+                return false;
+            };
             self.blocks.remove(index);
         }
+        if let Err(index) = self.find(block.part) {
+            self.blocks.insert(index, block);
+        }
+        true
     }
 
     fn find(&self, part: PartId) -> Result<usize, usize> {
