--- a/standins/src/bin/standin-endpoint/main.rs
+++ b/standins/src/bin/standin-endpoint/main.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use rattanstall_standins::endpoint::{EndpointSetup, EndpointStandIn};
+use rattanstall::clock::Millis;
+use rattanstall_standins::endpoint::{EndpointSetup, EndpointStandIn, Lifecycle};
 use rattanstall_standins::options::{parse, required, value};
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
@@ -17,6 +18,15 @@
             "header",
             "header of every response, as NAME=VALUE (default none)",
         ),
+        (
+            "parts-header",
+            "request header that lists the prompt's parts, as ID:TOKENS pairs",
+        ),
+        (
+            "crashing-parts",
+            "hexadecimal identifiers of parts that end the process, separated by commas",
+        ),
+        ("downtime-ms", "time until it is back (default 2000)"),
     ];
     let args = parse(
         "Stands in for an endpoint; see rattanstall-experiment --name answer.",
@@ -37,8 +47,17 @@
             .map(str::to_owned)
             .collect(),
         version: value(&args, "version", String::new()),
+        lifecycle: Lifecycle {
+            parts_header: value(&args, "parts-header", String::new()),
+            downtime: Millis(value(&args, "downtime-ms", 2_000)),
+            ..Lifecycle::default()
+        },
     };
-    EndpointStandIn::start(listen, setup)?;
+    let crashing: String = value(&args, "crashing-parts", String::new());
+    let crashing = crashing.split(',').filter(|id| !id.is_empty());
+    let crashing: Result<Vec<u64>, _> = crashing.map(|id| u64::from_str_radix(id, 16)).collect();
+    let endpoint = EndpointStandIn::start(listen, setup)?;
+    endpoint.set_crashing_parts(&crashing?);
     loop {
         std::thread::park();
     }
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -3,15 +3,19 @@
 
 mod answer;
 mod connection;
+mod life;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use life::Life;
+use rattanstall::clock::Millis;
 use serde::{Deserialize, Serialize};
 
 pub use answer::{Answer, Ending, Framing, Overflow, Place};
+pub use life::{EndCause, LifeRecord, Lifecycle};
 
 /// The path that sets the answer to requests that name none (`PUT`).
 pub const ANSWER_PATH: &str = "/control/answer";
@@ -20,6 +24,24 @@
 /// A request header with the [`Answer`] to this request, as JSON.
 pub const ANSWER_HEADER: &str = "x-standin-answer";
 
+/// What became of a request at the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// It was meant for another instance and did not run.
+    Misdirected,
+    /// It waits for a slot; what still waits when the process ends stays so.
+    Waiting,
+    /// Its answer has begun.
+    Running,
+    /// Its answer was sent as it was set.
+    Sent,
+    /// Its process ended, or the connection broke.
+    Broken,
+    /// Its process ended under one of its parts.
+    Crashed,
+}
+
 /// One request that the endpoint received.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReceivedRequest {
@@ -27,6 +49,21 @@
     pub head: String,
     /// The number of its connection.
     pub connection: u64,
+    /// When it arrived.
+    pub at: Millis,
+    /// Its identifier.
+    pub id: String,
+    /// The parts of its prompt.
+    pub parts: Vec<u64>,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+impl ReceivedRequest {
+    /// Whether the endpoint began to answer it.
+    pub fn has_run(&self) -> bool {
+        !matches!(self.outcome, Outcome::Misdirected | Outcome::Waiting)
+    }
 }
 
 /// What the endpoint received and sent.
@@ -38,6 +75,8 @@
     pub abandoned: u64,
     /// Bytes of answers that were written.
     pub sent_bytes: u64,
+    /// The runs of its process.
+    pub lives: Vec<LifeRecord>,
 }
 
 /// What the endpoint's responses carry.
@@ -49,6 +88,8 @@
     pub echoed_headers: Vec<String>,
     /// The software version, which is part of every event.
     pub version: String,
+    /// When its process ends, and how it comes back.
+    pub lifecycle: Lifecycle,
 }
 
 /// A running endpoint. It serves until the process ends.
@@ -63,20 +104,47 @@
     answer: Mutex<Answer>,
     history: Mutex<History>,
     sent_bytes: AtomicU64,
+    crashing_parts: Mutex<Vec<u64>>,
+    life: Mutex<Option<Arc<Life>>>,
+    lives: Mutex<Vec<LifeRecord>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
 
 impl Shared {
     fn history(&self) -> MutexGuard<'_, History> {
-        self.history.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.history)
     }
 
     fn answer(&self) -> MutexGuard<'_, Answer> {
-        self.answer.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.answer)
+    }
+
+    fn current_life(&self) -> MutexGuard<'_, Option<Arc<Life>>> {
+        lock(&self.life)
+    }
+
+    fn lives(&self) -> MutexGuard<'_, Vec<LifeRecord>> {
+        lock(&self.lives)
+    }
+
+    fn now(&self) -> Millis {
+        self.setup.lifecycle.clock.now()
+    }
+
+    /// The first part under which the process ends; the last part never counts.
+    fn crashing_part(&self, parts: &[u64]) -> Option<u64> {
+        let (_, shared) = parts.split_last()?;
+        let crashing = lock(&self.crashing_parts);
+        shared.iter().copied().find(|part| crashing.contains(part))
     }
 
     fn snapshot(&self) -> History {
         History {
             sent_bytes: self.sent_bytes.load(Ordering::Relaxed),
+            lives: self.lives().clone(),
             ..self.history().clone()
         }
     }
@@ -92,14 +160,11 @@
             answer: Mutex::default(),
             history: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
+            crashing_parts: Mutex::default(),
+            life: Mutex::default(),
+            lives: Mutex::default(),
         });
-        let served = shared.clone();
-        std::thread::spawn(move || {
-            for (stream, number) in listener.incoming().flatten().zip(0..) {
-                let shared = served.clone();
-                std::thread::spawn(move || connection::serve(&shared, stream, number));
-            }
-        });
+        shared.start(listener)?;
         Ok(Self { shared, address })
     }
 
@@ -118,6 +183,51 @@
         *self.shared.answer() = answer;
     }
 
+    /// Sets the parts under which its process ends.
+    pub fn set_crashing_parts(&self, parts: &[u64]) {
+        *lock(&self.shared.crashing_parts) = parts.to_vec();
+    }
+
+    /// Ends its process; connections are refused until it is back.
+    pub fn crash(&self) {
+        self.end(EndCause::Fault);
+    }
+
+    /// Ends its process once no request runs.
+    pub fn leave(&self) {
+        let life = self.shared.current_life().clone();
+        if let Some(life) = life {
+            life.wait_while_running();
+            self.shared.end_life(&life, EndCause::Left);
+        }
+    }
+
+    fn end(&self, cause: EndCause) {
+        let life = self.shared.current_life().clone();
+        if let Some(life) = life {
+            self.shared.end_life(&life, cause);
+        }
+    }
+
+    /// Resets all connections; the process goes on.
+    pub fn reset_connections(&self) {
+        if let Some(life) = &*self.shared.current_life() {
+            life.reset_connections();
+        }
+    }
+
+    /// Whether it neither reads nor writes, with its connections left open.
+    pub fn set_silent(&self, is_silent: bool) {
+        if let Some(life) = &*self.shared.current_life() {
+            life.set_silent(is_silent);
+        }
+    }
+
+    /// The runs of its process so far.
+    pub fn lives(&self) -> Vec<LifeRecord> {
+        self.shared.lives().clone()
+    }
+
     /// What the endpoint received and sent so far.
     pub fn history(&self) -> History {
         self.shared.snapshot()
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -7,8 +7,9 @@
 
 use serde::Serialize;
 
+use super::life::{EndCause, Life};
 use super::{
-    ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Overflow, Place,
+    ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Outcome, Overflow, Place,
     ReceivedRequest, Shared,
 };
 
@@ -28,6 +29,14 @@
         found.map(|(_, value)| value.trim())
     }
 
+    /// The parts of the prompt, which a header lists as `ID:TOKENS` pairs.
+    fn parts(&self, header: &str) -> Vec<u64> {
+        let listed = self.header(header).unwrap_or_default().split(',');
+        let ids = listed.filter_map(|pair| pair.trim().split_once(':'));
+        ids.filter_map(|(id, _)| u64::from_str_radix(id, 16).ok())
+            .collect()
+    }
+
     fn path(&self) -> &str {
         let target = self.head.split(' ').nth(1).unwrap_or_default();
         target.split('?').next().unwrap_or_default()
@@ -40,16 +49,21 @@
     Close,
 }
 
-pub(super) fn serve(shared: &Shared, stream: TcpStream, number: u64) {
-    let Ok(writer) = stream.try_clone() else {
-        return;
-    };
-    let mut connection = Connection {
-        shared,
-        writer,
-        reader: BufReader::new(stream),
-        number,
-    };
+pub(super) fn serve(shared: &Shared, life: &Life, stream: TcpStream, number: u64) {
+    if let Ok(writer) = stream.try_clone() {
+        let connection = Connection {
+            shared,
+            life,
+            writer,
+            reader: BufReader::new(stream),
+            number,
+        };
+        serve_requests(shared, connection);
+    }
+    life.remove_connection(number);
+}
+
+fn serve_requests(shared: &Shared, mut connection: Connection<'_>) {
     while let Ok(Some(req)) = connection.read_request() {
         match connection.respond(&req) {
             Ok(Next::Keep) => {}
@@ -64,6 +78,7 @@
 
 struct Connection<'a> {
     shared: &'a Shared,
+    life: &'a Life,
     writer: TcpStream,
     reader: BufReader<TcpStream>,
     number: u64,
@@ -85,6 +100,7 @@
         let length = req.header("content-length").and_then(|l| l.parse().ok());
         req.body.resize(length.unwrap_or(0), 0);
         self.reader.read_exact(&mut req.body)?;
+        self.life.wait_while_silent()?;
         Ok(Some(req))
     }
 
@@ -112,12 +128,54 @@
         Ok(Next::Keep)
     }
 
+    /// Records a request and what becomes of it.
     fn answer(&mut self, req: &Request) -> io::Result<Next> {
-        let received = ReceivedRequest {
+        let lifecycle = &self.shared.setup.lifecycle;
+        let header = |name: &str| req.header(name).unwrap_or_default();
+        let mut received = ReceivedRequest {
             head: req.head.clone(),
             connection: self.number,
+            at: self.shared.now(),
+            id: header(&lifecycle.id_header).to_owned(),
+            parts: req.parts(&lifecycle.parts_header),
+            outcome: Outcome::Waiting,
+        };
+        let crashing_part = self.shared.crashing_part(&received.parts);
+        let expected = header(&lifecycle.instance_header);
+        let is_misdirected = !expected.is_empty() && expected != self.life.instance;
+        if is_misdirected {
+            received.outcome = Outcome::Misdirected;
+        }
+        let number = {
+            let requests = &mut self.shared.history().requests;
+            requests.push(received);
+            requests.len() - 1
         };
-        self.shared.history().requests.push(received);
+        if is_misdirected {
+            return self.write_json(421, &"another instance");
+        }
+        let Some(_slot) = self.life.take_slot(lifecycle.slots) else {
+            return Ok(Next::Close);
+        };
+        self.set_outcome(number, Outcome::Running);
+        let result = self.run(req, crashing_part);
+        let outcome = match (&result, crashing_part) {
+            (Ok(_), _) => Outcome::Sent,
+            (Err(_), Some(_)) => Outcome::Crashed,
+            (Err(_), None) => Outcome::Broken,
+        };
+        self.set_outcome(number, outcome);
+        result
+    }
+
+    fn set_outcome(&self, number: usize, outcome: Outcome) {
+        if let Some(req) = self.shared.history().requests.get_mut(number) {
+            req.outcome = outcome;
+        }
+    }
+
+    /// Answers a request, or ends the process under one of its parts.
+    fn run(&mut self, req: &Request, crashing_part: Option<u64>) -> io::Result<Next> {
         let named = req.header(ANSWER_HEADER);
         let named = named.and_then(|text| serde_json::from_str(text).ok());
         let answer: Answer = named.unwrap_or_else(|| self.shared.answer().clone());
@@ -134,6 +192,12 @@
             return self.overflow(&answer, Overflow::Head, after);
         }
         self.write(head.as_bytes())?;
+        if let Some(part) = crashing_part {
+            let lifecycle = &self.shared.setup.lifecycle;
+            std::thread::sleep(lifecycle.crash_delay.as_duration());
+            self.shared.end_life(self.life, EndCause::Part(part));
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
         if let Some(overflow) = answer.overflow {
             return self.overflow(&answer, overflow, after);
         }
@@ -186,6 +250,7 @@
     }
 
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.life.wait_while_silent()?;
         self.writer.write_all(bytes)?;
         let sent = &self.shared.sent_bytes;
         sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
