--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -104,6 +104,8 @@
     answer: Mutex<Answer>,
     history: Mutex<History>,
     sent_bytes: AtomicU64,
+    /// The answer to all requests, also to those that name one.
+    forced_answer: Mutex<Option<Answer>>,
     crashing_parts: Mutex<Vec<u64>>,
     life: Mutex<Option<Arc<Life>>>,
     lives: Mutex<Vec<LifeRecord>>,
@@ -122,6 +124,12 @@
         lock(&self.answer)
     }
 
+    /// The answer to a request that names this one.
+    fn answer_to(&self, named: Option<Answer>) -> Answer {
+        let forced = lock(&self.forced_answer).clone();
+        forced.or(named).unwrap_or_else(|| self.answer().clone())
+    }
+
     fn current_life(&self) -> MutexGuard<'_, Option<Arc<Life>>> {
         lock(&self.life)
     }
@@ -160,6 +168,7 @@
             answer: Mutex::default(),
             history: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
+            forced_answer: Mutex::default(),
             crashing_parts: Mutex::default(),
             life: Mutex::default(),
             lives: Mutex::default(),
@@ -183,6 +192,11 @@
         *self.shared.answer() = answer;
     }
 
+    /// Sets the answer to all requests, also to those that name one.
+    pub fn force_answer(&self, answer: Option<Answer>) {
+        *lock(&self.shared.forced_answer) = answer;
+    }
+
     /// Sets the parts under which its process ends.
     pub fn set_crashing_parts(&self, parts: &[u64]) {
         *lock(&self.shared.crashing_parts) = parts.to_vec();
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -178,7 +178,7 @@
     fn run(&mut self, req: &Request, crashing_part: Option<u64>) -> io::Result<Next> {
         let named = req.header(ANSWER_HEADER);
         let named = named.and_then(|text| serde_json::from_str(text).ok());
-        let answer: Answer = named.unwrap_or_else(|| self.shared.answer().clone());
+        let answer = self.shared.answer_to(named);
         let after = req.header("last-event-id").and_then(|id| id.parse().ok());
         let after = after.unwrap_or(0);
         let head = self.head(req, &answer, after);
