Gateways tell each other which parts end endpoints, and block them alike

The control thread owns the evidence. A crash that a gateway saw goes to all others at once, as does progress with a watched part; gateways that answered a part of such a crash say so.

These messages go before others that wait for the control thread and have sequence numbers of their own, or the datagrams that they overtake would be taken for old ones.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -5,6 +5,7 @@
 mod leadership;
 mod limits;
 mod needs;
+mod parts;
 mod relayed;
 mod streams;
 
@@ -31,6 +32,7 @@
 pub use event::{Effect, Event, LeaderRecord, LocalUsage};
 pub use needs::Need;
 use needs::Needs;
+use parts::Parts;
 
 /// Interval between load reports in a fleet of up to [`STATUS_BASE_GATEWAYS`].
 const STATUS_INTERVAL: Millis = Millis(100);
@@ -80,6 +82,7 @@
     asked_peers: usize,
     decisions: Decisions,
     needs: Needs,
+    parts: Parts,
     /// Number of loan requests so far; rotates the lenders.
     loan_requests: usize,
     due: Due,
@@ -124,6 +127,7 @@
             asked_peers: 0,
             decisions: Decisions::default(),
             needs: Needs::default(),
+            parts: Parts::default(),
             loan_requests: 0,
             due: Due::default(),
             settings,
@@ -222,7 +226,9 @@
             }
             Event::ModelWanted(need) => self.model_wanted(now, need, &mut out),
             Event::StreamSought(id) => self.seek_stream(id, &mut out),
-            Event::EndpointCrashed(_) | Event::PartsProgressed(_) => {}
+            Event::EndpointCrashed(report) => self.endpoint_crashed(now, report, &mut out),
+            Event::PartsProgressed(progress) => self.parts_progressed(now, progress),
+            Event::PartsChecked(answered) => self.parts_checked(now, answered),
             Event::OrderAnswered {
                 endpoint,
                 order,
@@ -243,6 +249,7 @@
             }
             Event::Stop => out.push(Effect::EndLease),
         }
+        self.settle_parts(now, &mut out);
         out
     }
 
@@ -270,6 +277,7 @@
         self.catch_up(now, out);
         self.campaign(now, out);
         self.repeat_needs(now, out);
+        self.tick_parts(now, out);
         out.push(Effect::AnnounceStreams);
         self.schedule_due_decision(now, out);
     }
@@ -395,6 +403,9 @@
                 out.extend(to.map(|to| Effect::TellStream { to, id }));
             }
             Message::Streams(records) => out.push(Effect::LearnStreams(records)),
+            Message::Crashes(reports) => self.crashes_told(now, from, reports, out),
+            Message::PartProgress(told) => self.progress_told(now, told),
+            Message::Blocks(blocks) => self.blocks_told(now, blocks, out),
             Message::Registry(part) => self.registry_relayed(now, from, part, out),
             Message::Holdings(all) => {
                 let mut has_changed = false;
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -14,9 +14,10 @@
 use crate::direct::gossip::{Datagram, Message};
 use crate::direct::ledger::EngineCall;
 use crate::direct::members::Member;
+use crate::direct::part_table::PartLists;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
-use crate::direct::suspects::{CrashReport, PartProgress};
+use crate::direct::suspects::{CrashReport, PartId, PartProgress};
 use crate::direct::view::LoadTable;
 
 /// The content of the leader key in the store.
@@ -95,6 +96,8 @@
     EndpointCrashed(CrashReport),
     /// Answers to prompts with watched parts got under way at this gateway.
     PartsProgressed(Vec<PartProgress>),
+    /// These parts were answered here, in reply to [`Effect::CheckParts`].
+    PartsChecked(Vec<PartProgress>),
     /// A request needs more tokens of a limit than this gateway has.
     TokensNeeded {
         /// The workspace.
@@ -149,6 +152,7 @@
             Self::StreamSought(_) => "stream_sought",
             Self::EndpointCrashed(_) => "endpoint_crashed",
             Self::PartsProgressed(_) => "parts_progressed",
+            Self::PartsChecked(_) => "parts_checked",
             Self::TokensNeeded { .. } => "tokens_needed",
             Self::OrderAnswered { .. } => "order_answered",
             Self::Reported { .. } => "reported",
@@ -210,6 +214,15 @@
     },
     /// Take over records of streams from another gateway.
     LearnStreams(Vec<StreamRecord>),
+    /// Publish the parts that are blocked or watched to the traffic threads.
+    PublishParts(PartLists),
+    /// Send [`Event::PartsChecked`] with those parts that were answered here lately.
+    CheckParts {
+        /// The parts.
+        parts: Vec<PartId>,
+        /// How long ago an answer may have been.
+        max_age: Millis,
+    },
     /// Fetch the configuration from a gateway if it has a newer one than this one.
     PullConfiguration(SocketAddr),
     /// Try to claim the leader key.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -18,6 +18,7 @@
 use super::shared::Shared;
 use super::store::Store;
 use super::streams::StreamRecord;
+use super::suspects::{PartId, PartProgress};
 use super::sync::{
     ConfigurationFollower, FleetFollower, RegistrationFollower, RelayProgress, follow,
 };
@@ -126,6 +127,8 @@
             Effect::LearnStreams(records) => {
                 self.shared.streams.learn(self.shared.now(), records);
             }
+            Effect::PublishParts(lists) => self.shared.parts.publish(lists),
+            Effect::CheckParts { parts, max_age } => self.check_parts(&parts, max_age),
             Effect::ClaimLeadership {
                 expected,
                 is_succession,
@@ -204,6 +207,19 @@
         }
     }
 
+    /// Looks up when parts were last answered here.
+    fn check_parts(&self, parts: &[PartId], max_age: Millis) {
+        let now = self.shared.now();
+        let answered = parts.iter().filter_map(|part| {
+            let age = now.since(self.shared.parts.answered_at(*part)?);
+            (age <= max_age).then_some(PartProgress { part: *part, age })
+        });
+        let answered: Vec<PartProgress> = answered.collect();
+        if !answered.is_empty() {
+            self.events.send(Event::PartsChecked(answered));
+        }
+    }
+
     fn set_shares(&self, shares: &[(CompactString, u64)]) {
         let now = self.shared.now();
         for (workspace, ppm) in shares {
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -15,6 +15,7 @@
 use super::registry::RegistryPart;
 use super::request::ModelRef;
 use super::streams::{StreamId, StreamRecord};
+use super::suspects::{Block, CrashReport, PartProgress};
 use super::view::LoadTable;
 
 /// Length of the secret in bytes: the block size of SHA-256.
@@ -116,6 +117,12 @@
     StreamSought(StreamId),
     /// Software versions that began streams.
     Streams(Vec<StreamRecord>),
+    /// Endpoints that ended, with the parts that they were about to answer.
+    Crashes(Vec<CrashReport>),
+    /// Parts of crashes with which answers got under way.
+    PartProgress(Vec<PartProgress>),
+    /// Parts that are blocked, and blocks that were lifted.
+    Blocks(Vec<Block>),
 }
 
 impl Message {
@@ -133,8 +140,20 @@
             Self::Streams(_) => "peer_streams",
             Self::Registry(_) | Self::RetiredRegistry => "peer_registry",
             Self::Holdings(_) => "peer_holdings",
+            Self::Crashes(_) => "peer_crashes",
+            Self::PartProgress(_) => "peer_part_progress",
+            Self::Blocks(_) => "peer_blocks",
         }
     }
+
+    /// Whether the message is about parts of prompts. These messages are handled before
+    /// others that wait, and are numbered apart from them therefore.
+    pub fn is_about_parts(&self) -> bool {
+        matches!(
+            self,
+            Self::Crashes(_) | Self::PartProgress(_) | Self::Blocks(_)
+        )
+    }
 }
 
 /// A datagram between gateways.
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -36,6 +36,8 @@
     boot: u64,
     /// Sequence number of the last datagram.
     number: u64,
+    /// The same for messages about parts.
+    part_number: u64,
     received_at: Millis,
     version: u64,
     is_draining: bool,
@@ -87,6 +89,8 @@
             Ok(at) if self.peers[at].member == member => return false,
             Ok(at) => {
                 self.peers[at].report.boot = 0;
+                self.peers[at].report.number = 0;
+                self.peers[at].report.part_number = 0;
                 self.peers[at].report.loads.clear();
                 self.peers[at].report.limits = None;
                 self.peers[at].member = member;
@@ -142,11 +146,16 @@
             return None;
         }
         let report = &mut peer.report;
-        if report.boot == datagram.boot && datagram.number <= report.number {
+        let is_new_start = report.boot != datagram.boot;
+        let last = match datagram.message.is_about_parts() {
+            true => &mut report.part_number,
+            false => &mut report.number,
+        };
+        if !is_new_start && datagram.number <= *last {
             return None;
         }
+        *last = datagram.number;
         report.boot = datagram.boot;
-        report.number = datagram.number;
         report.received_at = now;
         match datagram.message {
             Message::Status {
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -55,7 +55,9 @@
         | Event::StoreLost
         | Event::StoreAnswered
         | Event::EndpointCrashed(_)
-        | Event::PartsProgressed(_) => Lane::Endpoints,
+        | Event::PartsProgressed(_)
+        | Event::PartsChecked(_) => Lane::Endpoints,
+        Event::Datagram(datagram) if datagram.message.is_about_parts() => Lane::Endpoints,
         Event::Tick(_)
         | Event::Usage(_)
         | Event::Datagram(_)
--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -189,6 +189,12 @@
         found.ok().map(|index| self.progress[index].1)
     }
 
+    /// How long ago an answer with a part last got under way, if that is known.
+    pub fn progress_age(&self, now: Millis, part: PartId) -> Option<Millis> {
+        let at = self.progress_of(part)?;
+        Some((now + ORIGIN).since(at))
+    }
+
     /// Takes over a block or its end from another gateway or from an operator. Returns
     /// whether it is newer than what was known.
     pub fn merge_block(&mut self, now: Millis, block: &Block) -> bool {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -28,10 +28,11 @@
     format_compact!("m{number:03}")
 }
 
-fn settings() -> Settings {
+/// The settings of a gateway.
+pub fn settings(number: usize) -> Settings {
     let address = ([127, 0, 0, 1], 1).into();
     Settings {
-        name: gateway(0),
+        name: gateway(number),
         zone: "z".into(),
         callers: address,
         readiness: address,
@@ -103,7 +104,7 @@
 /// The control state of a gateway that has read everything from the store at time 0
 /// and whose lease does not end.
 pub fn registered_gateway() -> Control {
-    let mut control = Control::new(Arc::new(settings()));
+    let mut control = Control::new(Arc::new(settings(0)));
     let engines = (0..ENGINES).map(|at| {
         let held = [model(at), model(at + ENGINES)];
         registration(&format_compact!("e{at:03}"), 1, &[&held[0], &held[1]])
