Evidence about parts is exchanged periodically, and with gateways that come back

A gateway that lost a datagram, was cut off or restarted lacked crashes and blocks for good. Now each gateway with evidence tells three others in turn all that it knows each 500 ms, at most 8 datagrams each; a gateway that is heard again or has started is told by the three that its name selects, and one that hears most others again tells all.

tests/direct_part_exchange.rs, seeded, one datagram in ten lost, 3, 22 and 100 gateways: a gateway knows the blocks within 3 s after a cut of 0.9, 2 or 6 s and after a restart that the others notice or not; what it saw alone while it was cut off reaches all within 3 s. 64 crashes of 128 parts each, seen by one gateway at once: 32 datagrams to each other one in the first second (21 others: 672, 0.9 MB). The window of the answers and the time between repetitions are shorter, so that all three are there before crashes at about the same time are judged; with 60 and 30 ms a single gateway of 100 blocked a part that another had answered.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -272,6 +272,9 @@
                 "peer.silent"
             };
             journal::write(event, &[("peer", (&peer).into())]);
+            if is_reachable {
+                self.welcome(now, &peer, out);
+            }
         }
         self.relay_registry(now, out);
         self.catch_up(now, out);
--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -1,6 +1,7 @@
 //! Crashes of endpoints and blocked parts: what this gateway learns, tells the others
 //! and publishes to the traffic thread.
 
+mod exchange;
 mod outbox;
 
 use compact_str::{CompactString, format_compact};
@@ -14,6 +15,7 @@
 };
 use crate::journal;
 
+use exchange::Exchange;
 use outbox::Outbox;
 
 /// Time between two publications, so that a burst of messages costs a few only.
@@ -42,7 +44,7 @@
 const MAX_PROMPT_ANSWERS: usize = 64;
 /// How long they wait at most. Crashes at about the same time are judged after
 /// 100 ms, so the answers have to be there by then.
-const ANSWER_WINDOW: Millis = Millis(60);
+const ANSWER_WINDOW: Millis = Millis(30);
 /// The most parts that are remembered from own reports.
 const MAX_REPORTED_PARTS: usize = 4_096;
 /// The most parts that a log line names.
@@ -54,6 +56,7 @@
     evidence: Evidence,
     lists: PartLists,
     outbox: Outbox,
+    exchange: Exchange,
     /// Parts in the crashes that this gateway saw, and when, sorted by part.
     reported: Vec<(PartId, Millis)>,
     /// When this or another gateway last said that a part was answered, sorted by part.
@@ -262,6 +265,8 @@
             self.parts.expire(now);
         }
         self.decide_on_parts(now, out);
+        self.report_back(now, out);
+        self.exchange_parts(now, out);
     }
 
     fn decide_on_parts(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -337,7 +342,7 @@
     for block in after.blocked.iter().filter(is_new).filter_map(|p| find(*p)) {
         let endpoints: &[CompactString] = match &block.cause {
             BlockCause::Crashes(endpoints) => endpoints,
-            BlockCause::Progress | BlockCause::Operator => &[],
+            _ => &[],
         };
         journal::write(
             "part.blocked",
@@ -362,8 +367,8 @@
 
 fn cause_name(cause: &BlockCause) -> &'static str {
     match cause {
-        BlockCause::Crashes(_) => "crashes",
         BlockCause::Progress => "progress",
         BlockCause::Operator => "operator",
+        _ => "crashes",
     }
 }
--- a/src/direct/control/parts/outbox.rs
+++ b/src/direct/control/parts/outbox.rs
@@ -15,14 +15,16 @@
 /// Bounds of the datagrams per second that one gateway sends to each other one.
 const MIN_SENT_PER_S: u64 = 4;
 const MAX_SENT_PER_S: u64 = 20;
-/// Datagrams that may be sent at once after a pause.
-const MAX_BURST: u64 = 8;
+/// Datagrams that may be sent after a pause without regard to the rate.
+const MAX_BURST: u64 = 12;
+/// Rows that are queued within this time go together.
+const SEND_GAP: Millis = Millis(10);
 /// Datagrams of the burst that are kept for rows that have not been sent yet.
 const RESERVED_FOR_NEW: u64 = 4;
 /// How often a row is sent, and the delay between two times. Crashes at about the same
 /// time are judged after 100 ms, so all have to be sent by then.
 const SENDS: u8 = 3;
-const REPEAT_DELAY: Millis = Millis(30);
+const REPEAT_DELAY: Millis = Millis(20);
 /// The most rows of one kind that wait. The periodic exchange delivers others.
 const MAX_ROWS: usize = 512;
 /// The most parts of a crash in one row; a row has to fit a datagram.
@@ -116,6 +118,15 @@
     }
 }
 
+/// Splits rows into messages that each fit a datagram.
+pub(super) fn messages<T: Row>(rows: &[T]) -> Vec<Message> {
+    if rows.is_empty() {
+        return Vec::new();
+    }
+    let rows: Vec<T> = rows.iter().flat_map(|r| r.aged(Millis::ZERO)).collect();
+    split_rows(&rows).into_iter().map(T::message).collect()
+}
+
 #[derive(Clone, Debug)]
 struct Entry<T> {
     row: T,
@@ -211,6 +222,7 @@
     progress: Queue<PartProgress>,
     /// When there is something to send; nothing is done before.
     next_due: Millis,
+    next_send: Millis,
     /// Datagrams that may be sent, in thousandths, as of `refilled_at`.
     allowance_milli: u64,
     refilled_at: Millis,
@@ -223,6 +235,7 @@
             crashes: Queue::default(),
             progress: Queue::default(),
             next_due: Millis(u64::MAX),
+            next_send: Millis::ZERO,
             allowance_milli: MAX_BURST * 1_000,
             refilled_at: Millis::ZERO,
         }
@@ -263,7 +276,7 @@
     /// Takes the messages that may be sent now to each of the other gateways.
     pub(super) fn take_due(&mut self, now: Millis, others: usize) -> Vec<Message> {
         let mut sent = Vec::new();
-        if now < self.next_due {
+        if now < self.next_due.max(self.next_send) {
             return sent;
         }
         let per_s = MAX_RECEIVED_PER_S / others.max(1) as u64;
@@ -279,6 +292,9 @@
         allowed -= reserved;
         self.send(now, false, &mut allowed, &mut sent);
         self.allowance_milli -= (before - allowed - reserved) * 1_000;
+        if !sent.is_empty() {
+            self.next_send = now + SEND_GAP;
+        }
         let next = [
             self.blocks.next_due(),
             self.crashes.next_due(),
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -126,6 +126,15 @@
         ahead.take(RECORD_COPIES).count() < RECORD_COPIES
     }
 
+    /// Whether this gateway is among the few that another one's name selects.
+    pub fn is_sponsor(&self, name: &str, sponsors: usize) -> bool {
+        let seed = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let weight = rendezvous_weight(seed, &self.own_name);
+        let others = self.peers.iter().filter(|p| p.member.name != name);
+        let ahead = others.filter(|p| rendezvous_weight(seed, &p.member.name) > weight);
+        ahead.take(sponsors).count() < sponsors
+    }
+
     /// Removes a gateway that is no longer registered. Returns its last reported usage
     /// unless it was draining.
     pub fn remove(&mut self, name: &str) -> Option<MemberUsage> {
--- a/tests/direct_part_exchange.rs
+++ b/tests/direct_part_exchange.rs
@@ -9,8 +9,10 @@
 #[path = "support/registration.rs"]
 mod registration;
 
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
 use rattanstall::clock::Millis;
-use rattanstall::direct::suspects::PartId;
+use rattanstall::direct::suspects::{Block, BlockCause, BlockState, Evidence, PartId};
 
 use part_fleet::PartFleet;
 
@@ -24,6 +26,8 @@
 const SENDS: u64 = 3;
 /// The time within which a block has to be in force at all gateways.
 const BLOCK_TIME: Millis = Millis(1_000);
+/// The time within which a gateway has to know the blocks after it has been away.
+const RETURN_TIME: Millis = Millis(3_000);
 
 /// Sound requests are answered at random gateways, 50 a second.
 fn pass_with_traffic(fleet: &mut PartFleet, span: Millis) {
@@ -148,3 +152,149 @@
         );
     }
 }
+
+/// Guards against a gateway that comes back after a cut and goes on sending requests with
+/// a part that the others blocked meanwhile.
+#[test]
+fn a_gateway_that_was_cut_off_knows_the_blocks_when_it_is_back() {
+    for (gateways, seeds) in [(3, 20), (22, 10), (100, 2)] {
+        for seed in 0..seeds {
+            // Shorter and longer than its registration lasts.
+            for cut in [Millis(900), Millis(2_000), Millis(6_000)] {
+                let mut fleet = PartFleet::new(seed, gateways, LOSS);
+                let away = fleet.draw(gateways);
+                fleet.cut_off(away);
+                for _ in 0..3 {
+                    let at = (away + 1 + fleet.draw(gateways - 1)) % gateways;
+                    let own = PartId(fleet.draw(usize::MAX) as u64);
+                    fleet.crash(&[(at, vec![BAD, own])]);
+                    fleet.run(Millis(150));
+                }
+                fleet.run(cut);
+                assert!(fleet.blocked(away).is_empty(), "it was not cut off");
+                fleet.reconnect(away);
+                fleet.run(RETURN_TIME);
+                let differing = fleet.differing(&[BAD]);
+                assert!(
+                    differing.is_empty(),
+                    "{gateways}, seed {seed}, {cut:?}: {differing:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against crashes that only a gateway saw that was cut off from the others, but
+/// not from the endpoints.
+#[test]
+fn what_a_gateway_saw_while_it_was_cut_off_reaches_the_others() {
+    for (gateways, seeds) in [(3, 20), (22, 10), (100, 2)] {
+        for seed in 0..seeds {
+            let mut fleet = PartFleet::new(seed, gateways, LOSS);
+            fleet.cut_off(0);
+            for _ in 0..3 {
+                fleet.crash(&[(0, vec![BAD])]);
+                fleet.run(Millis(150));
+            }
+            fleet.run(Millis(4_000));
+            fleet.reconnect(0);
+            fleet.run(RETURN_TIME);
+            let differing = fleet.differing(&[BAD]);
+            assert!(
+                differing.is_empty(),
+                "{gateways}, seed {seed}: {differing:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a restarted gateway that has forgotten the blocks.
+#[test]
+fn a_restarted_gateway_knows_the_blocks_before_it_serves_three_seconds() {
+    for (gateways, seeds) in [(3, 20), (22, 10), (100, 2)] {
+        for seed in 0..seeds {
+            // Faster and slower than the others notice.
+            for down in [Millis(50), Millis(2_000)] {
+                let mut fleet = PartFleet::new(seed, gateways, LOSS);
+                crash_three_times(&mut fleet);
+                fleet.run(BLOCK_TIME);
+                let at = fleet.draw(gateways);
+                fleet.kill(at);
+                fleet.run(down);
+                fleet.restart(at);
+                assert!(fleet.blocked(at).is_empty(), "it has no memory");
+                fleet.run(RETURN_TIME);
+                let differing = fleet.differing(&[BAD]);
+                assert!(
+                    differing.is_empty(),
+                    "{gateways}, seed {seed}, {down:?}: {differing:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a mass failure, or a caller who invents parts, that fills the network
+/// and the other gateways' time with reports.
+#[test]
+fn reports_of_a_mass_failure_are_bounded() {
+    const CRASHES: usize = 64;
+    const PARTS: usize = 128;
+    for gateways in [22, 100] {
+        let mut fleet = PartFleet::new(7, gateways, 0);
+        for _ in 0..CRASHES {
+            let parts = (0..PARTS).map(|_| PartId(fleet.draw(usize::MAX) as u64));
+            let parts: Vec<PartId> = parts.collect();
+            fleet.crash(&[(0, parts)]);
+        }
+        fleet.run(Millis(1_000));
+        let others = gateways as u64 - 1;
+        let (told, exchanged) = (fleet.counts, fleet.exchanged);
+        println!("{gateways} gateways, {CRASHES} crashes: {told:?}, exchanged {exchanged:?}");
+        // After a pause, and within a second.
+        let bound = (12 + 20) * others;
+        assert!(told.crashes <= bound, "{told:?}");
+        assert!(told.bytes <= bound * 1_400, "{told:?}");
+        // Each gateway tells three others, twice or three times.
+        let bound = gateways as u64 * 3 * 3 * 8;
+        assert!(exchanged.crashes <= bound, "{exchanged:?}");
+        assert!(exchanged.bytes <= bound * 1_400, "{exchanged:?}");
+    }
+}
+
+/// Guards against gateways that disagree for good because they heard of changes of a
+/// block in different orders.
+#[test]
+fn blocks_merge_to_the_same_state_in_any_order() {
+    let mut rng = ChaCha8Rng::seed_from_u64(27);
+    let causes = [
+        BlockCause::Crashes(vec!["e-1".into()]),
+        BlockCause::Crashes(vec!["e-1".into(), "e-2".into()]),
+        BlockCause::Progress,
+        BlockCause::Operator,
+    ];
+    for _ in 0..200 {
+        let mut draw = |limit: usize| (rng.next_u64() % limit as u64) as usize;
+        let blocks = (0..12).map(|_| Block {
+            part: PartId(draw(3) as u64),
+            generation: draw(4) as u32,
+            state: [BlockState::Blocked, BlockState::Lifted][draw(2)],
+            cause: causes[draw(causes.len())].clone(),
+            since: Millis(0),
+        });
+        let mut blocks: Vec<Block> = blocks.collect();
+        let mut states = Vec::new();
+        for _ in 0..5 {
+            for at in (1..blocks.len()).rev() {
+                blocks.swap(at, draw(at + 1));
+            }
+            let mut evidence = Evidence::default();
+            for block in &blocks {
+                evidence.merge_block(Millis(1_000), block);
+            }
+            states.push(evidence.blocks(Millis(1_000)));
+        }
+        states.dedup();
+        assert_eq!(states.len(), 1, "{states:?}");
+    }
+}
--- a/tests/support/part_fleet.rs
+++ b/tests/support/part_fleet.rs
@@ -61,6 +61,8 @@
     datagrams: BTreeMap<u64, Datagram>,
     sent: u64,
     pub counts: Counts,
+    /// The same for messages to one gateway each.
+    pub exchanged: Counts,
     crashes: u64,
 }
 
@@ -75,6 +77,7 @@
             datagrams: BTreeMap::new(),
             sent: 0,
             counts: Counts::default(),
+            exchanged: Counts::default(),
             crashes: 0,
         };
         for at in 0..count {
@@ -85,6 +88,7 @@
         }
         fleet.run(Millis(600));
         fleet.counts = Counts::default();
+        fleet.exchanged = Counts::default();
         fleet
     }
 
@@ -107,9 +111,9 @@
                     Effect::Broadcast(message) => {
                         let members = self.gateways[at].control.members();
                         let to: Vec<SocketAddr> = members.iter().map(|m| m.address).collect();
-                        self.send(at, &to, message);
+                        self.send(at, &to, message, true);
                     }
-                    Effect::Send(to, message) => self.send(at, &[to], message),
+                    Effect::Send(to, message) => self.send(at, &[to], message, false),
                     Effect::PublishParts(lists) => self.gateways[at].lists = lists,
                     Effect::CheckParts { parts, max_age } => {
                         let answered = self.answered(at, &parts, max_age);
@@ -131,7 +135,7 @@
         known.collect()
     }
 
-    fn send(&mut self, from: usize, to: &[SocketAddr], message: Message) {
+    fn send(&mut self, from: usize, to: &[SocketAddr], message: Message, is_broadcast: bool) {
         let sender = &mut self.gateways[from];
         sender.number += 1;
         let datagram = Datagram {
@@ -141,7 +145,12 @@
             message,
         };
         if datagram.message.is_about_parts() {
-            self.count(&datagram, to.len() as u64);
+            let size = check(&datagram);
+            let counts = match is_broadcast {
+                true => &mut self.counts,
+                false => &mut self.exchanged,
+            };
+            counts.add(&datagram.message, size, to.len() as u64);
         }
         if self.gateways[from].is_cut_off || matches!(datagram.message, Message::Status { .. }) {
             return;
@@ -163,20 +172,6 @@
         }
     }
 
-    fn count(&mut self, datagram: &Datagram, receivers: u64) {
-        let bytes = encode(&[7; SECRET_BYTES], datagram).expect("encoded");
-        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
-        let decoded = decode(&[7; SECRET_BYTES], &bytes).expect("decoded");
-        assert_eq!(&decoded, datagram);
-        self.counts.bytes += bytes.len() as u64 * receivers;
-        match &datagram.message {
-            Message::Crashes(_) => self.counts.crashes += receivers,
-            Message::PartProgress(_) => self.counts.progress += receivers,
-            Message::Blocks(_) => self.counts.blocks += receivers,
-            _ => {}
-        }
-    }
-
     /// Lets time pass.
     pub fn run(&mut self, span: Millis) {
         let end = self.now + span;
@@ -323,6 +318,27 @@
     }
 }
 
+impl Counts {
+    fn add(&mut self, message: &Message, size: usize, receivers: u64) {
+        self.bytes += size as u64 * receivers;
+        match message {
+            Message::Crashes(_) => self.crashes += receivers,
+            Message::PartProgress(_) => self.progress += receivers,
+            Message::Blocks(_) => self.blocks += receivers,
+            _ => {}
+        }
+    }
+}
+
+/// Encodes and decodes a datagram, and returns its size.
+fn check(datagram: &Datagram) -> usize {
+    let bytes = encode(&[7; SECRET_BYTES], datagram).expect("encoded");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    let decoded = decode(&[7; SECRET_BYTES], &bytes).expect("decoded");
+    assert_eq!(&decoded, datagram);
+    bytes.len()
+}
+
 fn member(at: usize, boot: u64) -> Member {
     Member {
         boot,
