--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -36,6 +36,8 @@
     boot: u64,
     /// Sequence number of the last datagram.
     number: u64,
+    /// The same for messages about parts.
+    part_number: u64,
     received_at: Millis,
     version: u64,
     is_draining: bool,
@@ -87,6 +89,8 @@
             Ok(at) if self.peers[at].member == member => return false,
             Ok(at) => {
                 self.peers[at].report.boot = 0;
+                self.peers[at].report.number = 0;
+                self.peers[at].report.part_number = 0;
                 self.peers[at].report.loads.clear();
                 self.peers[at].report.limits = None;
                 self.peers[at].member = member;
@@ -122,6 +126,15 @@
         ahead.take(RECORD_COPIES).count() < RECORD_COPIES
     }
 
+    /// Whether this gateway is among the few that another one's name selects.
+    pub fn is_sponsor(&self, name: &str, sponsors: usize) -> bool {
+        let seed = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let weight = rendezvous_weight(seed, &self.own_name);
+        let others = self.peers.iter().filter(|p| p.member.name != name);
+        let ahead = others.filter(|p| rendezvous_weight(seed, &p.member.name) > weight);
+        ahead.take(sponsors).count() < sponsors
+    }
+
     /// Removes a gateway that is no longer registered. Returns its last reported usage
     /// unless it was draining.
     pub fn remove(&mut self, name: &str) -> Option<MemberUsage> {
@@ -142,11 +155,16 @@
             return None;
         }
         let report = &mut peer.report;
-        if report.boot == datagram.boot && datagram.number <= report.number {
+        let is_new_start = report.boot != datagram.boot;
+        let last = match datagram.message.is_about_parts() {
+            true => &mut report.part_number,
+            false => &mut report.number,
+        };
+        if !is_new_start && datagram.number <= *last {
             return None;
         }
+        *last = datagram.number;
         report.boot = datagram.boot;
-        report.number = datagram.number;
         report.received_at = now;
         match datagram.message {
             Message::Status {
