--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -1,5 +1,7 @@
 //! Sends a request to an endpoint, and retries at another one where that is safe.
 
+mod exchange;
+
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,11 +13,8 @@
 use super::answer::UpstreamBody;
 use super::balance::{Criteria, candidates, choose};
 use super::buffers::BufferBudget;
-use super::connection::{Connection, ENDPOINT_LIMITS, ExchangeError, has_connection_close};
 use super::control::{Event, Need};
-use super::document::RouteKind;
-use super::fleet::{EndpointKey, FleetCell, InFlight};
-use super::framing::{BodyProgress, Framing};
+use super::fleet::{EndpointKey, FleetCell};
 use super::job::Job;
 use super::refusal::Refusal;
 use super::request::adapter_hash;
@@ -25,10 +24,8 @@
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
 
-/// Time limit for connecting to an endpoint: a few round trips between zones. A
-/// lost SYN is retransmitted only after a second, so that trying another endpoint
-/// is faster.
-const CONNECT_TIMEOUT: Millis = Millis(300);
+use exchange::Attempt;
+
 /// The most endpoints at which one request is attempted, whether they run it or not.
 const MAX_ATTEMPTS: usize = 3;
 /// The longest wait for a model to be loaded: the time of one load from the
@@ -68,15 +65,6 @@
     NoCandidate,
 }
 
-enum Attempt {
-    /// The endpoint responded, possibly with a server error.
-    Answered(Box<UpstreamResponse>),
-    /// The request certainly did not run.
-    NotRun(Code),
-    /// The request may have run.
-    Failed(Code),
-}
-
 /// The attempts made so far for one request.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -293,149 +281,4 @@
         }
         Choice::Endpoint(chosen.key)
     }
-
-    async fn attempt(&self, job: &Job, key: EndpointKey, last_event_id: Option<&str>) -> Attempt {
-        let now = self.shared.now();
-        let left = job.time_left(now);
-        if left == Millis::ZERO {
-            return Attempt::NotRun(Code::TargetMissed);
-        }
-        let in_flight = InFlight::start(&self.fleet, key, job.load(), now);
-        let exchange = self.exchange(job, in_flight, last_event_id);
-        match timeout(left.as_duration(), exchange).await {
-            Ok(attempt) => attempt,
-            Err(_) => {
-                self.record_failure(key);
-                job.log("request.timed_out", &[]);
-                Attempt::Failed(Code::TimedOut)
-            }
-        }
-    }
-
-    fn record_failure(&self, key: EndpointKey) {
-        let now = self.shared.now();
-        if let Some(endpoint) = self.fleet.borrow_mut().get_mut(key) {
-            endpoint.health.record_failure(now);
-            endpoint.close_idle();
-        }
-    }
-
-    /// Sends the request to one endpoint and waits for the head of the response.
-    async fn exchange(
-        &self,
-        job: &Job,
-        in_flight: InFlight,
-        last_event_id: Option<&str>,
-    ) -> Attempt {
-        let key = in_flight.key();
-        let Some((address, id)) = self.address_of(key) else {
-            return Attempt::NotRun(Code::NoEndpoint);
-        };
-        let mut connection = match self.connect(job, key, address).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                self.record_failure(key);
-                job.log(
-                    "request.not_sent",
-                    &[("error", (&error.to_string()).into())],
-                );
-                return Attempt::NotRun(Code::NoEndpoint);
-            }
-        };
-        let req = job.request_for(&self.shared, &id, last_event_id);
-        match connection.send(req).await {
-            Ok(res) => {
-                let is_continuation = last_event_id.is_some();
-                self.classify_response(job, in_flight, connection, res, is_continuation)
-            }
-            Err(error) => {
-                self.record_failure(key);
-                job.log(
-                    "request.no_answer",
-                    &[("error", (&error.to_string()).into())],
-                );
-                match error {
-                    ExchangeError::NotSent(_) => Attempt::NotRun(Code::NoEndpoint),
-                    ExchangeError::Unanswered(_) => Attempt::Failed(Code::OutcomeUnknown),
-                }
-            }
-        }
-    }
-
-    fn address_of(&self, key: EndpointKey) -> Option<(std::net::SocketAddr, CompactString)> {
-        let fleet = self.fleet.borrow();
-        let registration = &fleet.get(key)?.view.registration;
-        Some((registration.address, registration.id.clone()))
-    }
-
-    /// Takes an idle connection or opens a new one. A request that runs at most once
-    /// always gets a new one: an idle connection may already be closed by the
-    /// endpoint, or may still deliver a duplicate of an earlier response.
-    async fn connect(
-        &self,
-        job: &Job,
-        key: EndpointKey,
-        address: std::net::SocketAddr,
-    ) -> Result<Connection, ExchangeError> {
-        if job.kind != RouteKind::AtMostOnce {
-            let now = self.shared.now();
-            let mut fleet = self.fleet.borrow_mut();
-            let idle = fleet.get_mut(key).and_then(|e| e.take_idle(now));
-            if let Some(connection) = idle {
-                return Ok(connection);
-            }
-        }
-        Connection::open(address, CONNECT_TIMEOUT, ENDPOINT_LIMITS).await
-    }
-
-    fn classify_response(
-        &self,
-        job: &Job,
-        in_flight: InFlight,
-        connection: Connection,
-        res: Response<hyper::body::Incoming>,
-        is_continuation: bool,
-    ) -> Attempt {
-        let now = self.shared.now();
-        let head = self
-            .shared
-            .dialect
-            .read_response_head(res.status(), res.headers());
-        if head.is_misdirected || head.not_run {
-            // The endpoint's load still counts this request.
-            in_flight.update_endpoint(|e| e.health.record_data(now, e.load.requests > 1));
-            job.log(
-                "request.endpoint_refused",
-                &[("status", res.status().as_u16().into())],
-            );
-            return Attempt::NotRun(Code::Busy);
-        }
-        if head
-            .request_id
-            .as_ref()
-            .is_some_and(|id| *id != job.metadata.id)
-        {
-            job.log("request.crossed_answer", &[]);
-            return Attempt::Failed(Code::CrossedAnswer);
-        }
-        in_flight.update_endpoint(|e| {
-            e.health.record_data(now, true);
-            if res.status().is_server_error() {
-                e.health.record_error_response();
-            }
-        });
-        let framing = Framing::of(res.headers(), res.body());
-        let is_reusable = !has_connection_close(res.headers()) && framing != Framing::Close;
-        let mut progress = BodyProgress::new(framing);
-        if job.is_event_stream(&res) {
-            progress = progress.event_stream(is_continuation);
-        }
-        Attempt::Answered(Box::new(res.map(|body| UpstreamBody {
-            body,
-            connection,
-            in_flight,
-            is_reusable,
-            progress,
-        })))
-    }
 }
--- /dev/null
+++ b/src/direct/relay/streaming.rs
@@ -0,0 +1,344 @@
+//! Relays a body as it arrives, and resumes a stream that broke off.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::stream;
+use http::{Response, StatusCode, header, response};
+
+use super::watchdog::Watchdog;
+use super::{log_response_end, remove_hop_by_hop_headers};
+use crate::clock::Millis;
+use crate::code::Code;
+use crate::direct::answer::{ResponseBody, TruncatedBody, UpstreamBody};
+use crate::direct::buffers::Reservation;
+use crate::direct::document::RouteKind;
+use crate::direct::forward::{AttemptHistory, Forwarder, UpstreamResponse};
+use crate::direct::framing::{BodyEnd, Framing};
+use crate::direct::job::Job;
+use crate::direct::resume::{EventTooLarge, EventTracker, ResumePoint};
+use crate::direct::shared::OpenRequest;
+use crate::direct::streams::{StreamId, StreamRecord};
+
+/// Whether the caller's copy may end where the endpoint's body ended.
+enum EndOfCopy {
+    Finished,
+    /// The body may be complete, but the framing of the copy would say that it is.
+    Unknown,
+    Broken(&'static str),
+}
+
+/// Reason for which a copy with chunks does not end with a body of unknown end.
+const UNKNOWN_END: &str = "its end is unknown";
+
+struct StreamRelay {
+    forwarder: Rc<Forwarder>,
+    job: Job,
+    history: AttemptHistory,
+    upstream: Option<(UpstreamBody, Watchdog)>,
+    /// Bytes that arrived before the relay began.
+    beginning: Option<Bytes>,
+    tracker: Option<EventTracker>,
+    /// Counts the bytes of an event that is held back.
+    held: Reservation,
+    /// The software version that began the stream; `None` if nothing has been passed on
+    /// or the endpoint states no version.
+    version: Option<CompactString>,
+    /// Whether the caller may have an event of the stream.
+    has_events: bool,
+    /// Whether the version has been recorded for the caller's next try.
+    is_recorded: bool,
+    has_started: bool,
+    /// How the end of the caller's copy is marked.
+    framing: Framing,
+    status: u16,
+    _open_request: OpenRequest,
+}
+
+/// Relays a stream, which is resumed if it breaks off and the route allows that.
+pub(super) fn relay_stream(
+    forwarder: Rc<Forwarder>,
+    job: Job,
+    upstream: UpstreamResponse,
+    history: AttemptHistory,
+    version: Option<CompactString>,
+) -> Response<ResponseBody> {
+    let (mut parts, upstream_body) = upstream.into_parts();
+    parts.headers.remove(header::CONTENT_LENGTH);
+    // A resumed stream has another length than its first part.
+    let framing = match upstream_body.progress.framing() {
+        Framing::Length(_) | Framing::Chunked => Framing::Chunked,
+        Framing::Close => Framing::Close,
+    };
+    let is_resumable = job.kind == RouteKind::Stream { is_resumable: true };
+    let is_tracked = is_resumable && upstream_body.progress.is_event_stream();
+    let tracker = is_tracked.then(|| EventTracker::after(job.metadata.last_event_id.clone()));
+    let relay = StreamRelay {
+        tracker,
+        version,
+        ..StreamRelay::new(forwarder, job, history, parts.status, framing)
+    };
+    relay.into_response(parts, upstream_body)
+}
+
+/// Relays a response that is too long to be held back.
+pub(super) fn relay_rest(
+    forwarder: Rc<Forwarder>,
+    job: Job,
+    beginning: Bytes,
+    upstream: UpstreamResponse,
+    history: AttemptHistory,
+) -> Response<ResponseBody> {
+    let (parts, upstream_body) = upstream.into_parts();
+    let framing = upstream_body.progress.framing();
+    let relay = StreamRelay {
+        beginning: Some(beginning),
+        has_started: true,
+        ..StreamRelay::new(forwarder, job, history, parts.status, framing)
+    };
+    relay.into_response(parts, upstream_body)
+}
+
+impl StreamRelay {
+    fn new(
+        forwarder: Rc<Forwarder>,
+        job: Job,
+        history: AttemptHistory,
+        status: StatusCode,
+        framing: Framing,
+    ) -> Self {
+        Self {
+            upstream: None,
+            beginning: None,
+            tracker: None,
+            held: forwarder.buffers.reserve(),
+            version: None,
+            has_events: job.is_continuation(),
+            is_recorded: false,
+            has_started: false,
+            framing,
+            status: status.as_u16(),
+            _open_request: forwarder.shared.count_open_request(),
+            forwarder,
+            job,
+            history,
+        }
+    }
+
+    fn into_response(
+        mut self,
+        mut parts: response::Parts,
+        upstream_body: UpstreamBody,
+    ) -> Response<ResponseBody> {
+        remove_hop_by_hop_headers(&mut parts.headers);
+        let framing = self.framing;
+        self.attach(upstream_body);
+        let body_stream = stream::unfold(self, |mut relay| async move {
+            let chunk = relay.next_chunk().await?;
+            Some((chunk, relay))
+        });
+        let body = ResponseBody::stream(Box::pin(body_stream), framing);
+        Response::from_parts(parts, body)
+    }
+
+    fn attach(&mut self, upstream_body: UpstreamBody) {
+        let left = self.job.time_left(self.forwarder.shared.now());
+        let watchdog = Watchdog::start(left, &upstream_body);
+        self.upstream = Some((upstream_body, watchdog));
+    }
+
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
+        if let Some(beginning) = self.beginning.take() {
+            return Some(Ok(beginning));
+        }
+        loop {
+            let (upstream_body, watchdog) = self.upstream.as_mut()?;
+            let chunk = upstream_body.next_chunk().await;
+            // The body of a connection that was closed here has no error.
+            if watchdog.has_fired() {
+                return self.truncate("timed out");
+            }
+            let why = match chunk {
+                Some(Ok(chunk)) => match self.forward_chunk(chunk) {
+                    Ok(chunk) if chunk.is_empty() => continue,
+                    Ok(chunk) => return Some(Ok(chunk)),
+                    Err(error) => self.upstream_failed(&error.to_string()),
+                },
+                Some(Err(error)) => self.upstream_failed(&error.to_string()),
+                None => match self.end_of_body() {
+                    EndOfCopy::Finished => {
+                        self.finish();
+                        return None;
+                    }
+                    EndOfCopy::Unknown => UNKNOWN_END.to_owned(),
+                    EndOfCopy::Broken(why) => self.upstream_failed(why),
+                },
+            };
+            if !self.resume().await {
+                return self.truncate(&why);
+            }
+        }
+    }
+
+    /// What it means for the caller's copy that the endpoint's body ended without an
+    /// error. The copy must not claim more than is known.
+    fn end_of_body(&self) -> EndOfCopy {
+        let end = self.upstream.as_ref().map(|(body, _)| body.progress.end());
+        match end {
+            Some(BodyEnd::Complete) => EndOfCopy::Finished,
+            Some(BodyEnd::Unknown) if self.framing == Framing::Close => EndOfCopy::Finished,
+            Some(BodyEnd::Unknown) | None => EndOfCopy::Unknown,
+            Some(BodyEnd::Broken(why)) => EndOfCopy::Broken(why),
+        }
+    }
+
+    /// Records that the endpoint's body broke off, and returns the reason.
+    fn upstream_failed(&mut self, why: &str) -> String {
+        if let Some((upstream_body, _)) = &self.upstream {
+            upstream_body.log_end(&self.job, why);
+        }
+        self.record_failure();
+        why.to_owned()
+    }
+
+    /// Returns what is passed to the caller when a chunk has arrived. A resumable
+    /// stream holds back an incomplete event.
+    fn forward_chunk(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLarge> {
+        let now = self.forwarder.shared.now();
+        if let Some((upstream_body, _)) = &mut self.upstream {
+            if upstream_body.progress.has_advanced() {
+                upstream_body
+                    .in_flight
+                    .update_endpoint(|e| e.health.record_data(now, true));
+            }
+            if !self.has_started {
+                upstream_body.in_flight.first_event_received();
+            }
+            if upstream_body.progress.is_event_too_large() {
+                return Err(EventTooLarge);
+            }
+        }
+        if !self.has_started {
+            self.has_started = true;
+            self.record_first_event(now);
+        }
+        let Some(tracker) = &mut self.tracker else {
+            return Ok(chunk);
+        };
+        let events = tracker.push(&chunk)?;
+        if !self.held.resize(tracker.pending_bytes()) {
+            return Err(EventTooLarge);
+        }
+        if !events.is_empty() {
+            self.record_version(now);
+        }
+        Ok(events)
+    }
+
+    /// Records the version of a stream of which an event is passed on, so that it goes on
+    /// at that version, here or at another gateway.
+    fn record_version(&mut self, now: Millis) {
+        let Some((upstream_body, _)) = &self.upstream else {
+            return;
+        };
+        self.has_events = true;
+        if std::mem::replace(&mut self.is_recorded, true) {
+            return;
+        }
+        let version = upstream_body.in_flight.version();
+        if version.is_empty() {
+            return;
+        }
+        self.version = Some(version.clone());
+        let metadata = &self.job.metadata;
+        let attempts = [Some(&metadata.id), metadata.resumes.as_ref()];
+        for attempt in attempts.into_iter().flatten() {
+            let record = StreamRecord {
+                id: StreamId::of_attempt(attempt),
+                version: version.clone(),
+            };
+            self.forwarder.shared.streams.record(now, record);
+        }
+    }
+
+    fn record_first_event(&self, now: Millis) {
+        let job = &self.job;
+        let after = now.since(job.arrived);
+        let workspace = job.workspace.as_deref().unwrap_or("");
+        let metrics = &self.forwarder.shared.metrics;
+        metrics.record_first_byte(workspace, &job.route, after, job.target);
+        job.log(
+            "request.first_event",
+            &[("after_ms", after.into()), ("target_ms", job.target.into())],
+        );
+    }
+
+    fn record_failure(&mut self) {
+        let now = self.forwarder.shared.now();
+        if let Some((upstream_body, _)) = &self.upstream {
+            upstream_body
+                .in_flight
+                .update_endpoint(|e| e.health.record_failure(now));
+        }
+    }
+
+    /// Resumes the stream after the last event that was passed on, at another endpoint
+    /// of the software version that wrote it. Returns whether it succeeded.
+    async fn resume(&mut self) -> bool {
+        // Closing the connection makes the endpoint stop before another one starts.
+        self.upstream = None;
+        let Some(tracker) = &mut self.tracker else {
+            return false;
+        };
+        tracker.drop_pending();
+        let resume = ResumePoint {
+            last_event_id: tracker.last_event_id().cloned(),
+            version: self.version.clone(),
+        };
+        let is_version_unknown = self.has_events && resume.version.is_none();
+        if is_version_unknown || !self.forwarder.may_retry(&self.job, &self.history) {
+            return false;
+        }
+        self.job.log(
+            "request.resumed",
+            &[
+                (
+                    "after_event",
+                    resume.last_event_id.as_deref().unwrap_or("").into(),
+                ),
+                ("software", resume.version.as_deref().unwrap_or("").into()),
+            ],
+        );
+        let sent = self.forwarder.send(&self.job, &mut self.history, &resume);
+        match sent.await {
+            Ok(upstream) if upstream.status().is_success() => {
+                self.attach(upstream.into_body());
+                true
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    fn finish(&mut self) {
+        let now = self.forwarder.shared.now();
+        if let Some((upstream_body, _)) = self.upstream.take() {
+            upstream_body.log_end(&self.job, "");
+            upstream_body.finish(now);
+        }
+        log_response_end(&self.forwarder, &self.job, self.status, 0);
+    }
+
+    /// Ends the response with an error, so that it does not look complete.
+    fn truncate(&mut self, reason: &str) -> Option<Result<Bytes, TruncatedBody>> {
+        self.upstream = None;
+        self.job.log("request.cut", &[("why", reason.into())]);
+        log_response_end(
+            &self.forwarder,
+            &self.job,
+            self.status,
+            Code::AnswerCut.number(),
+        );
+        Some(Err(TruncatedBody))
+    }
+}
