Table of answered parts: popular parts survive a flood of invented identifiers

Callers choose identifiers. Parts that were answered again within 10 s are now replaced last. A request without blocked parts costs one atomic load while no part is blocked. 384 KB instead of 256 KB, still fixed.

--- a/src/direct/part_table.rs
+++ b/src/direct/part_table.rs
@@ -1,6 +1,7 @@
 //! What the traffic thread needs to know of the parts of prompts, and what it saw of
 //! them.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
@@ -11,7 +12,7 @@
 
 /// How long a part counts as answered lately.
 const PROOF_LIFETIME: Millis = Millis(10_000);
-/// Sets of the table of answered parts, 4 entries each: 256 KB.
+/// Sets of the table of answered parts. With 4 entries of 24 bytes each: 384 KB.
 const PROOF_SETS: usize = 1 << 12;
 /// Entries of one set. Callers choose identifiers, so a set holds a few only.
 const PROOFS_PER_SET: usize = 4;
@@ -25,11 +26,29 @@
     pub watched: Vec<PartId>,
 }
 
+/// When a part was last answered.
+#[derive(Clone, Copy)]
+struct Proof {
+    part: PartId,
+    /// Zero in an empty entry.
+    at: Millis,
+    /// Whether it was answered before as well.
+    is_repeated: bool,
+}
+
+impl Proof {
+    const EMPTY: Self = Self {
+        part: PartId(0),
+        at: Millis::ZERO,
+        is_repeated: false,
+    };
+}
+
 /// Parts that were answered here lately, in a table of fixed size.
 struct Proofs {
     /// Makes it unpredictable which identifiers share a set.
     seed: u64,
-    sets: Vec<[(PartId, Millis); PROOFS_PER_SET]>,
+    sets: Vec<[Proof; PROOFS_PER_SET]>,
 }
 
 impl Proofs {
@@ -38,28 +57,42 @@
         hash as usize % self.sets.len()
     }
 
-    /// Records an answer in place of the oldest one of the same set.
+    /// Records an answer, in place of the oldest entry of its set. Parts that are
+    /// answered again and again are replaced last, so that a caller that invents
+    /// identifiers doesn't displace them.
     fn record(&mut self, now: Millis, part: PartId) {
         let at = self.set_of(part);
         let set = &mut self.sets[at];
-        let known = set.iter().position(|(id, _)| *id == part);
-        let oldest = (0..PROOFS_PER_SET).min_by_key(|index| set[*index].1);
-        let index = known.or(oldest).unwrap_or(0);
-        set[index] = (part, now);
+        if let Some(known) = set.iter_mut().find(|proof| proof.part == part) {
+            known.is_repeated = known.at > Millis::ZERO;
+            known.at = now;
+            return;
+        }
+        let is_popular = |proof: &Proof| proof.is_repeated && now.since(proof.at) < PROOF_LIFETIME;
+        let replaced = set
+            .iter_mut()
+            .min_by_key(|proof| (is_popular(proof), proof.at));
+        if let Some(replaced) = replaced {
+            *replaced = Proof {
+                part,
+                at: now,
+                is_repeated: false,
+            };
+        }
     }
 
     fn at(&self, part: PartId) -> Option<Millis> {
         let set = &self.sets[self.set_of(part)];
-        let found = set
-            .iter()
-            .find(|(id, at)| *id == part && *at > Millis::ZERO);
-        found.map(|(_, at)| *at)
+        let found = set.iter().find(|proof| proof.part == part);
+        found.map(|proof| proof.at).filter(|at| *at > Millis::ZERO)
     }
 }
 
 /// The parts that one gateway knows, shared by its threads.
 pub struct PartTable {
     lists: ArcSwap<PartLists>,
+    /// Whether any part is blocked, so that most requests read nothing else.
+    has_blocked: AtomicBool,
     proofs: Mutex<Proofs>,
 }
 
@@ -67,9 +100,10 @@
     fn default() -> Self {
         Self {
             lists: ArcSwap::default(),
+            has_blocked: AtomicBool::new(false),
             proofs: Mutex::new(Proofs {
                 seed: rand::random(),
-                sets: vec![[(PartId(0), Millis::ZERO); PROOFS_PER_SET]; PROOF_SETS],
+                sets: vec![[Proof::EMPTY; PROOFS_PER_SET]; PROOF_SETS],
             }),
         }
     }
@@ -78,24 +112,24 @@
 impl PartTable {
     /// Replaces the lists.
     pub fn publish(&self, lists: PartLists) {
+        let has_blocked = !lists.blocked.is_empty();
         self.lists.store(lists.into());
+        self.has_blocked.store(has_blocked, Ordering::Release);
     }
 
     /// The parts of a prompt that several prompts can share: all but the last one,
     /// which belongs to the request or its session.
     pub fn shared_parts(parts: &[PromptPart]) -> impl Iterator<Item = PartId> {
-        let (_, shared) = parts
-            .split_last()
-            .map_or((None, parts), |(last, rest)| (Some(last), rest));
+        let shared = &parts[..parts.len().saturating_sub(1)];
         shared.iter().map(|part| PartId(part.id))
     }
 
     /// The first blocked part of a prompt.
     pub fn blocked_part(&self, parts: &[PromptPart]) -> Option<PartId> {
-        let lists = self.lists.load();
-        if lists.blocked.is_empty() {
+        if !self.has_blocked.load(Ordering::Acquire) {
             return None;
         }
+        let lists = self.lists.load();
         Self::shared_parts(parts).find(|part| lists.blocked.binary_search(part).is_ok())
     }
 
