Refuse requests with a blocked part: code 1011

At admission, before the request is charged or counts as demand for its model, and again before every attempt: after waits for tokens, endpoints and connections, and before repeats and resumes. Not yet run against a block: the control thread publishes none so far.

--- a/src/code.rs
+++ b/src/code.rs
@@ -84,6 +84,8 @@
     IdempotencyKeyReused = 1009, UNPROCESSABLE_ENTITY, "invalid_request_error", "the idempotency key was used with a different request";
     /// The request has no identifier.
     NoRequestId = 1010, BAD_REQUEST, "invalid_request_error", "the request has no identifier";
+    /// The prompt has a part that ends the endpoints that answer it.
+    PartBlocked = 1011, BAD_REQUEST, "invalid_request_error", "a part of the prompt ends the endpoints that answer it";
     /// The API key is missing, unknown or withdrawn.
     BadKey = 2001, UNAUTHORIZED, "authentication_error", "the key is missing, unknown or withdrawn";
     /// The API key was withdrawn while the response was being sent.
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -97,6 +97,10 @@
         // A server error is passed to the caller if no later attempt succeeds.
         let mut failure = None;
         while history.attempted.len() < MAX_ATTEMPTS {
+            if let Err(refusal) = job.check_parts(&self.shared) {
+                last = refusal;
+                break;
+            }
             let is_retry = !history.attempted.is_empty();
             if is_retry && !self.try_take_retry(job) {
                 break;
@@ -120,6 +124,10 @@
                     }
                     return Ok(*upstream);
                 }
+                Attempt::NotRun(Code::PartBlocked) => {
+                    last = Refusal::new(Code::PartBlocked);
+                    break;
+                }
                 Attempt::NotRun(code) => last = Refusal::new(code).retry_after(BUSY_RETRY_AFTER),
                 Attempt::Failed(code) => {
                     history.runs += 1;
@@ -229,6 +237,7 @@
             if has_changed.is_err() {
                 return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_AFTER));
             }
+            job.check_parts(&self.shared)?;
         }
     }
 
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -21,6 +21,7 @@
 /// lost SYN is retransmitted only after a second, so that trying another endpoint
 /// is faster.
 const CONNECT_TIMEOUT: Millis = Millis(300);
+
 /// How an attempt ended.
 pub(super) enum Attempt {
     /// The endpoint responded, possibly with a server error.
@@ -86,6 +87,10 @@
                 return Attempt::NotRun(Code::NoEndpoint);
             }
         };
+        // Connecting took time.
+        if let Err(refusal) = job.check_parts(&self.shared) {
+            return Attempt::NotRun(refusal.code);
+        }
         let req = job.request_for(&self.shared, &id, last_event_id);
         match connection.send(req).await {
             Ok(res) => {
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -24,7 +24,7 @@
 use super::forward::Forwarder;
 use super::job::Job;
 use super::quota::{Charge, charge};
-use super::refusal::Refusal;
+use super::refusal::{Refusal, refuse_blocked_part};
 use super::relay::respond_from_endpoint;
 use super::request::RequestMetadata;
 use super::shared::Shared;
@@ -213,6 +213,8 @@
         let request_timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
         let (parts, body) = req.into_parts();
         let body = read_body(body, document.limits.body_bytes, request_timeout).await?;
+        // Before it counts as demand for its model.
+        refuse_blocked_part(&self.shared, &metadata, is_logged)?;
         let service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
         let wanted = metadata.model.as_ref();
         let job = Job {
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 
 use super::document::{Document, RouteKind};
+use super::refusal::{Refusal, refuse_blocked_part};
 use super::request::{ForwardMetadata, RequestMetadata};
 use super::shared::{CountedDemand, Shared};
 use super::view::{Load, model_hash};
@@ -64,6 +65,11 @@
         self.deadline.since(now)
     }
 
+    /// Refuses the request if a part of its prompt is blocked by now.
+    pub fn check_parts(&self, shared: &Shared) -> Result<(), Refusal> {
+        refuse_blocked_part(shared, &self.metadata, self.is_logged)
+    }
+
     /// Whether the caller goes on with a stream of which it has events.
     pub fn is_continuation(&self) -> bool {
         self.metadata.last_event_id.is_some() || self.metadata.resumes.is_some()
--- a/src/direct/refusal.rs
+++ b/src/direct/refusal.rs
@@ -4,8 +4,11 @@
 use http::{HeaderValue, Response, header};
 
 use super::answer::ResponseBody;
+use super::request::RequestMetadata;
+use super::shared::Shared;
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
+use crate::journal;
 
 /// Why a request gets no response from an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,3 +72,25 @@
         res
     }
 }
+
+/// Refuses a request with a blocked part.
+pub(super) fn refuse_blocked_part(
+    shared: &Shared,
+    metadata: &RequestMetadata,
+    is_logged: bool,
+) -> Result<(), Refusal> {
+    let Some(part) = shared.parts.blocked_part(&metadata.parts) else {
+        return Ok(());
+    };
+    if is_logged {
+        journal::count_request_line();
+        journal::write(
+            "request.part_blocked",
+            &[
+                ("request", (&metadata.id).into()),
+                ("part", (&format!("{:x}", part.0)).into()),
+            ],
+        );
+    }
+    Err(Refusal::new(Code::PartBlocked))
+}
