Watch for endpoints that end under the runs that they were about to answer

A run that breaks off at an endpoint leads to one connection to it, 5 ms later and within 300 ms: refused or reset, the endpoint has ended, and the unproven shared parts of the runs that broke off there before their answer got under way are reported, those of later runs too. Connected or without an answer, nothing is reported. Endpoints that leave and prompts without parts are not probed.

An answer is under way after 4 events (comments do not count), or at its orderly end. That is recorded once per run, and with watched parts told to the control thread, once per part and second. A request without parts costs nothing more; one with parts costs one small vector, and one comparison per chunk from the fourth event on.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -12,6 +12,7 @@
 mod caller_stream;
 pub mod connection;
 pub mod control;
+pub mod crash_watch;
 pub mod dialect;
 pub mod directory;
 pub mod document;
--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -10,6 +10,7 @@
 
 use super::caller_stream::ConnectionEnd;
 use super::connection::Connection;
+use super::crash_watch::WatchedRun;
 use super::fleet::InFlight;
 use super::framing::{BodyProgress, Framing};
 use super::job::Job;
@@ -135,6 +136,8 @@
     pub is_reusable: bool,
     /// What has been received.
     pub progress: BodyProgress,
+    /// Evidence on the parts of the prompt; `None` if it has none.
+    pub run: Option<WatchedRun>,
 }
 
 impl UpstreamBody {
@@ -147,6 +150,9 @@
                     // Trailers are dropped: they hold nothing that callers need.
                     if let Ok(data) = frame.into_data() {
                         self.progress.push(&data);
+                        if let Some(run) = &mut self.run {
+                            run.record_body(&self.progress);
+                        }
                         return Some(Ok(data));
                     }
                 }
@@ -155,6 +161,20 @@
         }
     }
 
+    /// Records that the body broke off at the endpoint.
+    pub fn record_break(&self) {
+        if let Some(run) = &self.run {
+            run.record_break();
+        }
+    }
+
+    /// Records that the body ended without an error.
+    pub fn record_end(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.record_end(&self.progress);
+        }
+    }
+
     /// Logs how the body ended: with an error, or without one at its end.
     pub fn log_end(&self, job: &Job, error: &str) {
         job.log(
@@ -170,7 +190,8 @@
 
     /// Records the success after a complete response and returns the connection
     /// to the pool.
-    pub fn finish(self, now: Millis) {
+    pub fn finish(mut self, now: Millis) {
+        self.record_end();
         let Self {
             connection,
             in_flight,
--- a/src/direct/buffers.rs
+++ b/src/direct/buffers.rs
@@ -123,6 +123,7 @@
     };
     upstream_body.log_end(job, error.as_deref().unwrap_or_default());
     if error.is_some() {
+        upstream_body.record_break();
         upstream_body
             .in_flight
             .update_endpoint(|e| e.health.record_failure(now()));
--- /dev/null
+++ b/src/direct/crash_watch.rs
@@ -0,0 +1,199 @@
+//! Finds out whether endpoints end under the runs that break off at them, and which
+//! parts of prompts they were about to answer.
+//!
+//! When an endpoint ends, its runs break off at all gateways within milliseconds, and a
+//! new connection is refused. A run may also break off because of its connection or a
+//! faulty answer, so that the endpoint is probed once by connecting to it.
+
+mod cases;
+
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use http::StatusCode;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+pub use cases::{Cases, Ended, ProgressLog, Step, Suspect, reported_parts, suspects_of};
+
+use super::control::Event;
+use super::dialect::Registration;
+use super::framing::{BodyEnd, BodyProgress, MAX_COUNTED_EVENTS};
+use super::job::Job;
+use super::part_table::PartTable;
+use super::shared::Shared;
+use super::suspects::{CrashId, CrashReport, PartId, PartProgress};
+use super::view::Usability;
+use crate::clock::Millis;
+
+/// Events after which an answer has got under way.
+const EVENTS_UNDER_WAY: u32 = MAX_COUNTED_EVENTS;
+/// Time from the first run that breaks off to the probe: a process closes its sockets
+/// one after the other. Most of the other runs break off meanwhile, and one report
+/// covers them.
+const PROBE_DELAY: Millis = Millis(5);
+/// Time limit for the probe's connection: a few round trips between zones.
+const PROBE_TIMEOUT: Millis = Millis(300);
+
+/// Watches the runs at all endpoints.
+pub struct CrashWatch {
+    shared: Arc<Shared>,
+    cases: RefCell<Cases>,
+    progress: RefCell<ProgressLog>,
+}
+
+impl CrashWatch {
+    /// Creates a watch without runs.
+    pub fn new(shared: Arc<Shared>) -> Rc<Self> {
+        Rc::new(Self {
+            shared,
+            cases: RefCell::default(),
+            progress: RefCell::default(),
+        })
+    }
+
+    /// Watches a run that is about to be sent. Prompts without parts are not watched.
+    pub fn watch(self: &Rc<Self>, job: &Job, endpoint: &Arc<Registration>) -> Option<WatchedRun> {
+        let parts = &job.metadata.parts;
+        (!parts.is_empty()).then(|| WatchedRun {
+            watch: self.clone(),
+            endpoint: endpoint.clone(),
+            parts: PartTable::shared_parts(parts).collect(),
+            is_success: false,
+            is_under_way: false,
+        })
+    }
+
+    fn record_break(self: &Rc<Self>, run: &WatchedRun) {
+        let now = self.shared.now();
+        let id = CrashId::of_run(&run.endpoint.id, run.endpoint.started_at);
+        let mut cases = self.cases.borrow_mut();
+        if !cases.is_open(now, id) && !self.is_in_use(&run.endpoint) {
+            return;
+        }
+        let suspects = suspects_of(&self.shared.parts, now, &run.parts, run.is_under_way);
+        match cases.record_break(now, id, &suspects) {
+            Step::Probe => {
+                spawn_local(self.clone().probe(id, run.endpoint.clone()));
+            }
+            Step::Wait => {}
+            Step::Report(ended) if ended.suspects.is_empty() => {}
+            Step::Report(ended) => self.report(id, &run.endpoint, &ended),
+        }
+    }
+
+    /// Whether an endpoint is known and is not leaving.
+    fn is_in_use(&self, endpoint: &Registration) -> bool {
+        let view = self.shared.view();
+        let id = endpoint.id.as_str();
+        let found = view
+            .endpoints
+            .binary_search_by(|e| e.registration.id.as_str().cmp(id));
+        found.is_ok_and(|at| {
+            let known = &view.endpoints[at];
+            let is_same_run = known.registration.started_at == endpoint.started_at;
+            is_same_run && known.usability == Usability::Open
+        })
+    }
+
+    async fn probe(self: Rc<Self>, id: CrashId, endpoint: Arc<Registration>) {
+        sleep(PROBE_DELAY.as_duration()).await;
+        let connecting = TcpStream::connect(endpoint.address);
+        let connected = timeout(PROBE_TIMEOUT.as_duration(), connecting).await;
+        // Without an answer, the network may be at fault.
+        let has_ended = connected.is_ok_and(|connected| {
+            connected.is_err_and(|error| {
+                let kind = error.kind();
+                matches!(
+                    kind,
+                    ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+                )
+            })
+        });
+        let ended = self.cases.borrow_mut().conclude(id, has_ended);
+        if let Some(ended) = ended {
+            self.report(id, &endpoint, &ended);
+        }
+    }
+
+    /// Reports a crash, also without suspects: it shows that endpoints end for another
+    /// reason at that time.
+    fn report(&self, id: CrashId, endpoint: &Registration, ended: &Ended) {
+        let report = CrashReport {
+            id,
+            endpoint: endpoint.id.clone(),
+            version: endpoint.version.clone(),
+            age: self.shared.now().since(ended.since),
+            parts: reported_parts(&self.shared.parts, &ended.suspects),
+        };
+        self.shared.send_event(Event::EndpointCrashed(report));
+    }
+
+    fn record_progress(&self, parts: &[PartId]) {
+        let now = self.shared.now();
+        let mut watched = self.shared.parts.record_progress(now, parts);
+        if watched.is_empty() {
+            return;
+        }
+        self.progress.borrow_mut().retain_due(now, &mut watched);
+        if watched.is_empty() {
+            return;
+        }
+        let progress = watched.into_iter().map(|part| PartProgress {
+            part,
+            age: Millis::ZERO,
+        });
+        let event = Event::PartsProgressed(progress.collect());
+        self.shared.send_event(event);
+    }
+}
+
+/// A run of one request at one endpoint. Dropped, it is over without any evidence.
+pub struct WatchedRun {
+    watch: Rc<CrashWatch>,
+    endpoint: Arc<Registration>,
+    /// The parts of the prompt that other prompts may share.
+    parts: Vec<PartId>,
+    is_success: bool,
+    /// Whether the answer has got under way, which is recorded once.
+    is_under_way: bool,
+}
+
+impl WatchedRun {
+    /// Records the status of the response. Only a success counts as an answer to the
+    /// prompt.
+    pub fn record_status(&mut self, status: StatusCode) {
+        self.is_success = status.is_success();
+    }
+
+    /// Records that a part of the body arrived.
+    pub fn record_body(&mut self, body: &BodyProgress) {
+        if !self.is_under_way && body.events() >= EVENTS_UNDER_WAY {
+            self.record_progress();
+        }
+    }
+
+    /// Records that the body ended without an error.
+    pub fn record_end(&mut self, body: &BodyProgress) {
+        match body.end() {
+            BodyEnd::Complete => self.record_progress(),
+            BodyEnd::Unknown if body.is_empty() => self.record_break(),
+            BodyEnd::Unknown if body.events() > 0 => self.record_progress(),
+            BodyEnd::Unknown | BodyEnd::Broken(_) => {}
+        }
+    }
+
+    /// Records that the endpoint gave no response, or that its body broke off.
+    pub fn record_break(&self) {
+        self.watch.record_break(self);
+    }
+
+    fn record_progress(&mut self) {
+        if self.is_success && !std::mem::replace(&mut self.is_under_way, true) {
+            self.watch.record_progress(&self.parts);
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/crash_watch/cases.rs
@@ -0,0 +1,162 @@
+//! Endpoints whose runs break off, and what they were about to answer.
+
+use crate::clock::Millis;
+use crate::direct::part_table::PartTable;
+use crate::direct::suspects::{CrashId, MAX_CRASH_PARTS, PartId};
+
+/// How long runs that break off later count to the same crash.
+const CASE_LIFETIME: Millis = Millis(10_000);
+/// Shortest time between two reports of progress with one part.
+const PROGRESS_INTERVAL: Millis = Millis(1_000);
+
+/// A part that an endpoint was about to answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Its place in the prompt, from 0.
+    pub place: usize,
+    /// The part.
+    pub part: PartId,
+}
+
+/// The parts that a run that broke off leaves as suspects: those that other prompts
+/// share and that were not answered here lately. A run whose answer had got under way
+/// leaves none.
+pub fn suspects_of(
+    table: &PartTable,
+    now: Millis,
+    shared_parts: &[PartId],
+    is_under_way: bool,
+) -> Vec<Suspect> {
+    if is_under_way {
+        return Vec::new();
+    }
+    let parts = shared_parts.iter().copied().enumerate();
+    let unproven = parts.filter(|(_, part)| !table.is_proven(now, *part));
+    unproven
+        .map(|(place, part)| Suspect { place, part })
+        .collect()
+}
+
+/// What has to be done after a run broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Find out whether the endpoint has ended.
+    Probe,
+    /// Somebody is about to find out.
+    Wait,
+    /// The endpoint has ended: report these suspects, unless there are none.
+    Report(Ended),
+}
+
+/// An endpoint that has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// When its first run broke off.
+    pub since: Millis,
+    /// Suspects that have not been reported yet.
+    pub suspects: Vec<Suspect>,
+}
+
+#[derive(Debug)]
+struct Case {
+    id: CrashId,
+    since: Millis,
+    has_ended: bool,
+    suspects: Vec<Suspect>,
+}
+
+/// The runs of endpoints of which something broke off lately, sorted by identifier.
+#[derive(Debug, Default)]
+pub struct Cases(Vec<Case>);
+
+impl Cases {
+    /// Whether something broke off lately at this run of an endpoint, unless it turned
+    /// out to be alive.
+    pub fn is_open(&self, now: Millis, id: CrashId) -> bool {
+        let found = self.find(id);
+        found.is_ok_and(|at| now.since(self.0[at].since) < CASE_LIFETIME)
+    }
+
+    /// Adds the suspects of a run that broke off.
+    pub fn record_break(&mut self, now: Millis, id: CrashId, suspects: &[Suspect]) -> Step {
+        self.0.retain(|case| now.since(case.since) < CASE_LIFETIME);
+        let at = match self.find(id) {
+            Ok(at) => at,
+            Err(at) => {
+                let case = Case {
+                    id,
+                    since: now,
+                    has_ended: false,
+                    suspects: suspects.to_vec(),
+                };
+                self.0.insert(at, case);
+                return Step::Probe;
+            }
+        };
+        let case = &mut self.0[at];
+        if !case.has_ended {
+            case.suspects.extend_from_slice(suspects);
+            return Step::Wait;
+        }
+        Step::Report(Ended {
+            since: case.since,
+            suspects: suspects.to_vec(),
+        })
+    }
+
+    /// Records the result of a probe. Returns what to report if the endpoint has ended;
+    /// otherwise the case is closed.
+    pub fn conclude(&mut self, id: CrashId, has_ended: bool) -> Option<Ended> {
+        let at = self.find(id).ok()?;
+        if !has_ended {
+            self.0.remove(at);
+            return None;
+        }
+        let case = &mut self.0[at];
+        case.has_ended = true;
+        Some(Ended {
+            since: case.since,
+            suspects: std::mem::take(&mut case.suspects),
+        })
+    }
+
+    fn find(&self, id: CrashId) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&id, |case| case.id)
+    }
+}
+
+/// The parts that a report names, each once and sorted. If there are too many, those go
+/// first that other crashes speak against, then those at the beginnings of prompts, so
+/// that each run is heard.
+pub fn reported_parts(table: &PartTable, suspects: &[Suspect]) -> Vec<PartId> {
+    let ranked = suspects
+        .iter()
+        .map(|s| (!table.is_watched(s.part), s.place, s.part));
+    let mut ranked: Vec<(bool, usize, PartId)> = ranked.collect();
+    ranked.sort_unstable();
+    let mut parts: Vec<PartId> = Vec::new();
+    for (_, _, part) in ranked {
+        if parts.len() == MAX_CRASH_PARTS {
+            break;
+        }
+        if let Err(at) = parts.binary_search(&part) {
+            parts.insert(at, part);
+        }
+    }
+    parts
+}
+
+/// When progress with each part was last reported, sorted by part.
+#[derive(Debug, Default)]
+pub struct ProgressLog(Vec<(PartId, Millis)>);
+
+impl ProgressLog {
+    /// Keeps the parts whose progress is to be reported now.
+    pub fn retain_due(&mut self, now: Millis, parts: &mut Vec<PartId>) {
+        self.0.retain(|(_, at)| now.since(*at) < PROGRESS_INTERVAL);
+        parts.retain(|part| {
+            let place = self.0.binary_search_by_key(part, |(known, _)| *known);
+            place.map_err(|at| self.0.insert(at, (*part, now))).is_err()
+        });
+    }
+}
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -14,6 +14,7 @@
 use super::balance::{Criteria, candidates, choose};
 use super::buffers::BufferBudget;
 use super::control::{Event, Need};
+use super::crash_watch::CrashWatch;
 use super::fleet::{EndpointKey, FleetCell};
 use super::job::Job;
 use super::refusal::Refusal;
@@ -51,6 +52,7 @@
     pub fleet: FleetCell,
     /// Bounds the bytes of responses that are held back.
     pub buffers: BufferBudget,
+    crash_watch: Rc<CrashWatch>,
     budgets: RefCell<Vec<(CompactString, RetryBudget)>>,
 }
 
@@ -79,6 +81,7 @@
     /// Creates a forwarder with an empty fleet.
     pub fn new(shared: Arc<Shared>) -> Rc<Self> {
         Rc::new(Self {
+            crash_watch: CrashWatch::new(shared.clone()),
             shared,
             fleet: FleetCell::default(),
             buffers: BufferBudget::default(),
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -1,8 +1,8 @@
 //! One attempt: the exchange with one endpoint.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use compact_str::CompactString;
 use http::Response;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -12,6 +12,8 @@
 use crate::code::Code;
 use crate::direct::answer::UpstreamBody;
 use crate::direct::connection::{Connection, ENDPOINT_LIMITS, ExchangeError, has_connection_close};
+use crate::direct::crash_watch::WatchedRun;
+use crate::direct::dialect::Registration;
 use crate::direct::document::RouteKind;
 use crate::direct::fleet::{EndpointKey, InFlight};
 use crate::direct::framing::{BodyProgress, Framing};
@@ -32,6 +34,15 @@
     Failed(Code),
 }
 
+/// A request that was sent to an endpoint.
+struct Sent {
+    in_flight: InFlight,
+    connection: Connection,
+    run: Option<WatchedRun>,
+    /// Whether it asks for the rest of a stream.
+    is_continuation: bool,
+}
+
 impl Forwarder {
     /// Sends the request to an endpoint within the time that is left.
     pub(super) async fn attempt(
@@ -73,10 +84,10 @@
         last_event_id: Option<&str>,
     ) -> Attempt {
         let key = in_flight.key();
-        let Some((address, id)) = self.address_of(key) else {
+        let Some(endpoint) = self.registration_of(key) else {
             return Attempt::NotRun(Code::NoEndpoint);
         };
-        let mut connection = match self.connect(job, key, address).await {
+        let mut connection = match self.connect(job, key, endpoint.address).await {
             Ok(connection) => connection,
             Err(error) => {
                 self.record_failure(key);
@@ -91,11 +102,17 @@
         if let Err(refusal) = job.check_parts(&self.shared) {
             return Attempt::NotRun(refusal.code);
         }
-        let req = job.request_for(&self.shared, &id, last_event_id);
+        let req = job.request_for(&self.shared, &endpoint.id, last_event_id);
+        let run = self.crash_watch.watch(job, &endpoint);
         match connection.send(req).await {
             Ok(res) => {
-                let is_continuation = last_event_id.is_some();
-                self.classify_response(job, in_flight, connection, res, is_continuation)
+                let sent = Sent {
+                    in_flight,
+                    connection,
+                    run,
+                    is_continuation: last_event_id.is_some(),
+                };
+                self.classify_response(job, sent, res)
             }
             Err(error) => {
                 self.record_failure(key);
@@ -105,16 +122,20 @@
                 );
                 match error {
                     ExchangeError::NotSent(_) => Attempt::NotRun(Code::NoEndpoint),
-                    ExchangeError::Unanswered(_) => Attempt::Failed(Code::OutcomeUnknown),
+                    ExchangeError::Unanswered(_) => {
+                        if let Some(run) = run {
+                            run.record_break();
+                        }
+                        Attempt::Failed(Code::OutcomeUnknown)
+                    }
                 }
             }
         }
     }
 
-    fn address_of(&self, key: EndpointKey) -> Option<(SocketAddr, CompactString)> {
+    fn registration_of(&self, key: EndpointKey) -> Option<Arc<Registration>> {
         let fleet = self.fleet.borrow();
-        let registration = &fleet.get(key)?.view.registration;
-        Some((registration.address, registration.id.clone()))
+        Some(fleet.get(key)?.view.registration.clone())
     }
 
     /// Takes an idle connection or opens a new one. A request that runs at most once
@@ -137,14 +158,13 @@
         Connection::open(address, CONNECT_TIMEOUT, ENDPOINT_LIMITS).await
     }
 
-    fn classify_response(
-        &self,
-        job: &Job,
-        in_flight: InFlight,
-        connection: Connection,
-        res: Response<Incoming>,
-        is_continuation: bool,
-    ) -> Attempt {
+    fn classify_response(&self, job: &Job, sent: Sent, res: Response<Incoming>) -> Attempt {
+        let Sent {
+            in_flight,
+            connection,
+            mut run,
+            is_continuation,
+        } = sent;
         let now = self.shared.now();
         let head = self
             .shared
@@ -173,6 +193,9 @@
                 e.health.record_error_response();
             }
         });
+        if let Some(run) = &mut run {
+            run.record_status(res.status());
+        }
         let framing = Framing::of(res.headers(), res.body());
         let is_reusable = !has_connection_close(res.headers()) && framing != Framing::Close;
         let mut progress = BodyProgress::new(framing);
@@ -185,6 +208,7 @@
             in_flight,
             is_reusable,
             progress,
+            run,
         })))
     }
 }
--- a/src/direct/framing.rs
+++ b/src/direct/framing.rs
@@ -6,6 +6,8 @@
 
 /// The most bytes of one event.
 pub const MAX_EVENT_BYTES: usize = 64 << 10;
+/// The most events of a body that are counted.
+pub const MAX_COUNTED_EVENTS: u32 = 4;
 
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +62,7 @@
     may_be_empty: bool,
     bytes: u64,
     boundary: EventBoundary,
+    counter: EventCounter,
     /// Whether an event ended in the last chunk.
     has_event_ended: bool,
 }
@@ -73,6 +76,7 @@
             may_be_empty: true,
             bytes: 0,
             boundary: EventBoundary::default(),
+            counter: EventCounter::default(),
             has_event_ended: false,
         }
     }
@@ -92,6 +96,7 @@
         self.bytes += chunk.len() as u64;
         if self.is_event_stream {
             self.has_event_ended = self.boundary.push(chunk).is_some();
+            self.counter.push(chunk);
         }
     }
 
@@ -121,6 +126,17 @@
         self.bytes
     }
 
+    /// Number of complete events of a stream, counted up to [`MAX_COUNTED_EVENTS`].
+    pub fn events(&self) -> u32 {
+        self.counter.events
+    }
+
+    /// Whether nothing of an answer has been received: no byte or, of a stream, no
+    /// complete event.
+    pub fn is_empty(&self) -> bool {
+        self.bytes == 0 || (self.is_event_stream && self.events() == 0)
+    }
+
     /// Number of bytes received of an event that is not complete.
     pub fn open_event_bytes(&self) -> usize {
         self.boundary.open_bytes()
@@ -152,6 +168,45 @@
     coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
+/// Counts the first events of a stream. Comments alone are no event.
+#[derive(Clone, Debug)]
+struct EventCounter {
+    events: u32,
+    last: u8,
+    /// Whether the event that is not complete has a field.
+    has_field: bool,
+}
+
+impl Default for EventCounter {
+    fn default() -> Self {
+        Self {
+            events: 0,
+            last: b'\n',
+            has_field: false,
+        }
+    }
+}
+
+impl EventCounter {
+    fn push(&mut self, chunk: &[u8]) {
+        if self.events == MAX_COUNTED_EVENTS {
+            return;
+        }
+        for byte in chunk {
+            let last = std::mem::replace(&mut self.last, *byte);
+            match (last, *byte) {
+                (b'\r', b'\n') => {}
+                (b'\n' | b'\r', b'\n' | b'\r') => {
+                    self.events += u32::from(std::mem::take(&mut self.has_field));
+                }
+                (b'\n' | b'\r', first) => self.has_field |= first != b':',
+                _ => {}
+            }
+        }
+        self.events = self.events.min(MAX_COUNTED_EVENTS);
+    }
+}
+
 /// Finds the ends of events in a stream that arrives in chunks.
 ///
 /// An event ends with an empty line. Lines end with LF, CR LF or CR.
--- a/src/direct/part_table.rs
+++ b/src/direct/part_table.rs
@@ -133,6 +133,11 @@
         Self::shared_parts(parts).find(|part| lists.blocked.binary_search(part).is_ok())
     }
 
+    /// Whether some crash speaks against a part, or it is blocked.
+    pub fn is_watched(&self, part: PartId) -> bool {
+        self.lists.load().watched.binary_search(&part).is_ok()
+    }
+
     /// Records that an answer to a prompt got under way. Returns the parts of which the
     /// control thread has to know.
     pub fn record_progress(&self, now: Millis, parts: &[PartId]) -> Vec<PartId> {
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -165,14 +165,14 @@
                     Ok(chunk) => return Some(Ok(chunk)),
                     Err(error) => self.upstream_failed(&error.to_string()),
                 },
-                Some(Err(error)) => self.upstream_failed(&error.to_string()),
+                Some(Err(error)) => self.upstream_broke(&error.to_string()),
                 None => match self.end_of_body() {
                     EndOfCopy::Finished => {
                         self.finish();
                         return None;
                     }
-                    EndOfCopy::Unknown => UNKNOWN_END.to_owned(),
-                    EndOfCopy::Broken(why) => self.upstream_failed(why),
+                    EndOfCopy::Unknown => self.upstream_ended(),
+                    EndOfCopy::Broken(why) => self.upstream_broke(why),
                 },
             };
             if !self.resume().await {
@@ -193,7 +193,24 @@
         }
     }
 
-    /// Records that the endpoint's body broke off, and returns the reason.
+    /// Records that the endpoint's body broke off there, and returns the reason.
+    fn upstream_broke(&mut self, why: &str) -> String {
+        if let Some((upstream_body, _)) = &self.upstream {
+            upstream_body.record_break();
+        }
+        self.upstream_failed(why)
+    }
+
+    /// Records that the endpoint's body ended without an error, and returns the reason
+    /// for which the caller's copy cannot end there.
+    fn upstream_ended(&mut self) -> String {
+        if let Some((upstream_body, _)) = &mut self.upstream {
+            upstream_body.record_end();
+        }
+        UNKNOWN_END.to_owned()
+    }
+
+    /// Records that the endpoint's body is of no use, and returns the reason.
     fn upstream_failed(&mut self, why: &str) -> String {
         if let Some((upstream_body, _)) = &self.upstream {
             upstream_body.log_end(&self.job, why);
--- /dev/null
+++ b/tests/direct_crash_watch.rs
@@ -0,0 +1,170 @@
+//! Checks, without network, of what runs that break off say about the parts of their
+//! prompts.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng as _};
+use rattanstall::clock::Millis;
+use rattanstall::direct::crash_watch::{
+    Cases, Ended, ProgressLog, Step, Suspect, reported_parts, suspects_of,
+};
+use rattanstall::direct::part_table::{PartLists, PartTable};
+use rattanstall::direct::request::PromptPart;
+use rattanstall::direct::suspects::{CrashId, MAX_CRASH_PARTS, PartId};
+
+const SEED: u64 = 27;
+const NOW: Millis = Millis(50_000);
+const ENDPOINT: CrashId = CrashId(1);
+
+fn draw(rng: &mut ChaCha8Rng, limit: u64) -> u64 {
+    rng.next_u64() % limit
+}
+
+fn parts(ids: impl IntoIterator<Item = u64>) -> Vec<PartId> {
+    ids.into_iter().map(PartId).collect()
+}
+
+fn names(suspects: &[Suspect]) -> Vec<u64> {
+    suspects.iter().map(|s| s.part.0).collect()
+}
+
+fn suspect(place: usize, part: u64) -> Suspect {
+    let part = PartId(part);
+    Suspect { place, part }
+}
+
+// Guards against a sound request that is blamed because it ran beside another one.
+#[test]
+fn only_unproven_shared_parts_of_answers_to_come_are_suspects() {
+    let table = PartTable::default();
+    table.record_progress(NOW - Millis(20_000), &parts([3]));
+    table.record_progress(NOW - Millis(500), &parts([2]));
+    let prompt = [1, 2, 3, 4].map(|id| PromptPart { id, tokens: 9 });
+    let shared: Vec<PartId> = PartTable::shared_parts(&prompt).collect();
+    let found = suspects_of(&table, NOW, &shared, false);
+    assert_eq!(found, [suspect(0, 1), suspect(2, 3)]);
+    assert_eq!(suspects_of(&table, NOW, &shared, true), []);
+    let only_last: Vec<PartId> = PartTable::shared_parts(&prompt[..1]).collect();
+    assert_eq!(suspects_of(&table, NOW, &only_last, false), []);
+}
+
+// Guards against several probes of one endpoint at a time, and against runs that break
+// off during the probe and are forgotten.
+#[test]
+fn one_probe_decides_for_all_runs_that_break_off_meanwhile() {
+    let mut cases = Cases::default();
+    assert!(!cases.is_open(NOW, ENDPOINT));
+    let first = cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)]);
+    assert_eq!(first, Step::Probe);
+    assert!(cases.is_open(NOW, ENDPOINT));
+    let other = cases.record_break(NOW + Millis(1), CrashId(2), &[suspect(0, 9)]);
+    assert_eq!(other, Step::Probe);
+    for part in 2..5 {
+        let step = cases.record_break(NOW + Millis(2), ENDPOINT, &[suspect(0, part)]);
+        assert_eq!(step, Step::Wait);
+    }
+    let ended = cases.conclude(ENDPOINT, true).expect("an end");
+    assert_eq!(
+        (ended.since, names(&ended.suspects)),
+        (NOW, vec![1, 2, 3, 4])
+    );
+    // Whatever breaks off later is reported by itself, as part of the same crash.
+    let late = cases.record_break(NOW + Millis(400), ENDPOINT, &[suspect(1, 7)]);
+    let expected = Ended {
+        since: NOW,
+        suspects: vec![suspect(1, 7)],
+    };
+    assert_eq!(late, Step::Report(expected));
+}
+
+// Guards against a reset connection or a faulty answer that counts as a crash, and
+// against a crash that is missed because the endpoint was alive before.
+#[test]
+fn an_endpoint_that_is_alive_is_probed_anew_at_the_next_break() {
+    let mut cases = Cases::default();
+    for round in 0..3 {
+        let now = NOW + Millis(round);
+        let step = cases.record_break(now, ENDPOINT, &[suspect(0, round)]);
+        assert_eq!(step, Step::Probe);
+        assert_eq!(cases.conclude(ENDPOINT, false), None);
+        assert!(!cases.is_open(now, ENDPOINT));
+    }
+    cases.record_break(NOW, ENDPOINT, &[suspect(0, 8)]);
+    let ended = cases.conclude(ENDPOINT, true).expect("an end");
+    assert_eq!(names(&ended.suspects), [8]);
+}
+
+// Guards against a crash that goes unreported because its runs leave no suspects: it
+// shows that endpoints end for another reason.
+#[test]
+fn a_crash_without_suspects_is_reported() {
+    let mut cases = Cases::default();
+    assert_eq!(cases.record_break(NOW, ENDPOINT, &[]), Step::Probe);
+    let ended = cases.conclude(ENDPOINT, true).expect("an end");
+    assert_eq!(ended.suspects, []);
+}
+
+// Guards against cases that are kept for good.
+#[test]
+fn old_cases_are_dropped() {
+    let mut cases = Cases::default();
+    cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)]);
+    assert!(cases.is_open(NOW + Millis(9_999), ENDPOINT));
+    let later = NOW + Millis(10_000);
+    assert!(!cases.is_open(later, ENDPOINT));
+    cases.record_break(later, CrashId(2), &[]);
+    assert_eq!(cases.conclude(ENDPOINT, true), None);
+}
+
+// Guards against a part that ends endpoints and is crowded out of the reports by the
+// parts of the other runs.
+#[test]
+fn a_report_is_bounded_and_names_watched_parts_first() {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    for _ in 0..200 {
+        let table = PartTable::default();
+        let watched = parts((0..40).map(|n| 1_000_000 + 2 * n));
+        table.publish(PartLists {
+            blocked: Vec::new(),
+            watched: watched.clone(),
+        });
+        let runs = 1 + draw(&mut rng, 60);
+        let mut suspects = Vec::new();
+        for run in 0..runs {
+            let length = draw(&mut rng, 60) as usize;
+            suspects.extend((0..length).map(|place| suspect(place, 100 * run + place as u64)));
+        }
+        let first_places: Vec<PartId> = suspects
+            .iter()
+            .filter(|s| s.place == 0)
+            .map(|s| s.part)
+            .collect();
+        let chosen: Vec<PartId> = watched[..draw(&mut rng, 40) as usize].to_vec();
+        suspects.extend(chosen.iter().map(|part| suspect(500, part.0)));
+        suspects.extend_from_within(..);
+        let mut all: Vec<PartId> = suspects.iter().map(|s| s.part).collect();
+        all.sort_unstable();
+        all.dedup();
+        let reported = reported_parts(&table, &suspects);
+        assert!(reported.is_sorted_by(|a, b| a < b));
+        assert_eq!(reported.len(), all.len().min(MAX_CRASH_PARTS));
+        assert!(reported.iter().all(|part| all.binary_search(part).is_ok()));
+        let mut wanted = chosen.iter().chain(&first_places);
+        assert!(wanted.all(|part| reported.binary_search(part).is_ok()));
+    }
+}
+
+// Guards against an event for each answer with a watched part.
+#[test]
+fn progress_with_a_part_is_reported_once_a_second() {
+    let mut log = ProgressLog::default();
+    let mut due = |now: u64, ids: &[u64]| {
+        let mut due = parts(ids.iter().copied());
+        log.retain_due(Millis(now), &mut due);
+        due.iter().map(|part| part.0).collect::<Vec<u64>>()
+    };
+    assert_eq!(due(5_000, &[1, 2]), [1, 2]);
+    assert_eq!(due(5_400, &[2, 3]), [3]);
+    assert_eq!(due(5_999, &[1, 2, 3]), [0; 0]);
+    assert_eq!(due(6_000, &[1, 2, 3]), [1, 2]);
+    assert_eq!(due(6_400, &[3, 3]), [3]);
+}
--- a/tests/direct_framing.rs
+++ b/tests/direct_framing.rs
@@ -3,7 +3,9 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng as _};
-use rattanstall::direct::framing::{BodyEnd, BodyProgress, EventBoundary, Framing};
+use rattanstall::direct::framing::{
+    BodyEnd, BodyProgress, EventBoundary, Framing, MAX_COUNTED_EVENTS,
+};
 use rattanstall::direct::resume::EventTracker;
 
 const SEED: u64 = 24;
@@ -143,3 +145,34 @@
     }
     assert!(progress.is_event_too_large());
 }
+
+// Guards against an answer that counts as under way for fewer events than it brought, or
+// because of comments that an endpoint sends before it begins.
+#[test]
+fn events_are_counted_up_to_the_limit_whatever_the_chunks() {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    for case in 0..CASES {
+        let line_end = LINE_ENDS[draw(&mut rng, LINE_ENDS.len())];
+        let mut text = String::new();
+        let mut events = 0;
+        for _ in 0..draw(&mut rng, 9) {
+            match draw(&mut rng, 3) {
+                0 => text += &format!(": data: is near{line_end}{line_end}"),
+                1 => text += line_end,
+                _ => {
+                    let comment = [":", ""][draw(&mut rng, 2)];
+                    text += &format!("{comment}{line_end}data: x{line_end}{line_end}");
+                    events += 1;
+                }
+            }
+        }
+        text += ["", "data: open", "data: open\n"][draw(&mut rng, 3)];
+        let mut progress = BodyProgress::new(Framing::Chunked).event_stream(false);
+        for chunk in random_chunks(&mut rng, text.as_bytes()) {
+            progress.push(&chunk);
+        }
+        let expected = events.min(MAX_COUNTED_EVENTS);
+        assert_eq!(progress.events(), expected, "case {case}: {text:?}");
+        assert_eq!(progress.is_empty(), events == 0, "case {case}: {text:?}");
+    }
+}
