No repeat or resume of a request under which an endpoint has just ended

One attempt of a request with a part that ends endpoints ended as many of them as the route allows attempts. Requests with proven parts only, and without parts, are repeated as before.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -10,7 +10,7 @@
 
 use super::caller_stream::ConnectionEnd;
 use super::connection::Connection;
-use super::crash_watch::WatchedRun;
+use super::crash_watch::{Verdict, WatchedRun};
 use super::fleet::InFlight;
 use super::framing::{BodyProgress, Framing};
 use super::job::Job;
@@ -161,18 +161,16 @@
         }
     }
 
-    /// Records that the body broke off at the endpoint.
-    pub fn record_break(&self) {
-        if let Some(run) = &self.run {
-            run.record_break();
-        }
+    /// Records that the body broke off at the endpoint. If a part of the prompt may be
+    /// the cause, returns whether the endpoint has ended.
+    pub fn record_break(&self) -> Option<Verdict> {
+        self.run.as_ref()?.record_break()
     }
 
-    /// Records that the body ended without an error.
-    pub fn record_end(&mut self) {
-        if let Some(run) = &mut self.run {
-            run.record_end(&self.progress);
-        }
+    /// Records that the body ended without an error, and returns the same if it may
+    /// have broken off.
+    pub fn record_end(&mut self) -> Option<Verdict> {
+        self.run.as_mut()?.record_end(&self.progress)
     }
 
     /// Logs how the body ended: with an error, or without one at its end.
--- a/src/direct/buffers.rs
+++ b/src/direct/buffers.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::answer::UpstreamBody;
+use super::crash_watch::Verdict;
 use super::framing::BodyEnd;
 use super::job::Job;
 use crate::clock::Millis;
@@ -92,8 +93,8 @@
     Ended(Bytes, BodyEnd),
     /// It is too long to be held back: its beginning, and the rest.
     TooLong(Bytes, Box<UpstreamBody>),
-    /// It broke off.
-    Broken,
+    /// It broke off, possibly because the endpoint ended.
+    Broken(Option<Verdict>),
 }
 
 /// Reads a response body to its end and returns the connection to the pool if it is
@@ -123,11 +124,11 @@
     };
     upstream_body.log_end(job, error.as_deref().unwrap_or_default());
     if error.is_some() {
-        upstream_body.record_break();
+        let verdict = upstream_body.record_break();
         upstream_body
             .in_flight
             .update_endpoint(|e| e.health.record_failure(now()));
-        return BufferedBody::Broken;
+        return BufferedBody::Broken(verdict);
     }
     upstream_body.finish(now());
     BufferedBody::Ended(reservation.attach(buf.freeze()), end)
--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -17,7 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-pub use cases::{Cases, Ended, ProgressLog, Step, Suspect, reported_parts, suspects_of};
+pub use cases::{Cases, Ended, ProgressLog, Step, Suspect, Verdict, reported_parts, suspects_of};
 
 use super::control::Event;
 use super::dialect::Registration;
@@ -67,12 +67,12 @@
         })
     }
 
-    fn record_break(self: &Rc<Self>, run: &WatchedRun) {
+    fn record_break(self: &Rc<Self>, run: &WatchedRun) -> Option<Verdict> {
         let now = self.shared.now();
         let id = CrashId::of_run(&run.endpoint.id, run.endpoint.started_at);
         let mut cases = self.cases.borrow_mut();
         if !cases.is_open(now, id) && !self.is_in_use(&run.endpoint) {
-            return;
+            return None;
         }
         let suspects = suspects_of(&self.shared.parts, now, &run.parts, run.is_under_way);
         match cases.record_break(now, id, &suspects) {
@@ -83,6 +83,10 @@
             Step::Report(ended) if ended.suspects.is_empty() => {}
             Step::Report(ended) => self.report(id, &run.endpoint, &ended),
         }
+        match suspects.is_empty() {
+            true => None,
+            false => cases.verdict(id),
+        }
     }
 
     /// Whether an endpoint is known and is not leaving.
@@ -176,19 +180,22 @@
         }
     }
 
-    /// Records that the body ended without an error.
-    pub fn record_end(&mut self, body: &BodyProgress) {
+    /// Records that the body ended without an error. Returns a verdict as
+    /// [`Self::record_break`] does if it may have broken off before its first event.
+    pub fn record_end(&mut self, body: &BodyProgress) -> Option<Verdict> {
         match body.end() {
-            BodyEnd::Complete => self.record_progress(),
-            BodyEnd::Unknown if body.is_empty() => self.record_break(),
+            BodyEnd::Unknown if body.is_empty() => return self.record_break(),
             BodyEnd::Unknown if body.events() > 0 => self.record_progress(),
+            BodyEnd::Complete => self.record_progress(),
             BodyEnd::Unknown | BodyEnd::Broken(_) => {}
         }
+        None
     }
 
-    /// Records that the endpoint gave no response, or that its body broke off.
-    pub fn record_break(&self) {
-        self.watch.record_break(self);
+    /// Records that the endpoint gave no response, or that its body broke off. If a part
+    /// of the prompt is a suspect, returns whether the endpoint has ended.
+    pub fn record_break(&self) -> Option<Verdict> {
+        self.watch.record_break(self)
     }
 
     fn record_progress(&mut self) {
--- a/src/direct/crash_watch/cases.rs
+++ b/src/direct/crash_watch/cases.rs
@@ -1,5 +1,7 @@
 //! Endpoints whose runs break off, and what they were about to answer.
 
+use tokio::sync::watch;
+
 use crate::clock::Millis;
 use crate::direct::part_table::PartTable;
 use crate::direct::suspects::{CrashId, MAX_CRASH_PARTS, PartId};
@@ -57,11 +59,23 @@
     pub suspects: Vec<Suspect>,
 }
 
+/// Whether an endpoint has ended, as soon as that is known.
+#[derive(Clone, Debug)]
+pub struct Verdict(watch::Receiver<Option<bool>>);
+
+impl Verdict {
+    /// Waits until it is known.
+    pub async fn has_ended(mut self) -> bool {
+        let known = self.0.wait_for(Option::is_some).await;
+        known.is_ok_and(|has_ended| *has_ended == Some(true))
+    }
+}
+
 #[derive(Debug)]
 struct Case {
     id: CrashId,
     since: Millis,
-    has_ended: bool,
+    has_ended: watch::Sender<Option<bool>>,
     suspects: Vec<Suspect>,
 }
 
@@ -86,7 +100,7 @@
                 let case = Case {
                     id,
                     since: now,
-                    has_ended: false,
+                    has_ended: watch::Sender::new(None),
                     suspects: suspects.to_vec(),
                 };
                 self.0.insert(at, case);
@@ -94,7 +108,7 @@
             }
         };
         let case = &mut self.0[at];
-        if !case.has_ended {
+        if case.has_ended.borrow().is_none() {
             case.suspects.extend_from_slice(suspects);
             return Step::Wait;
         }
@@ -108,18 +122,24 @@
     /// otherwise the case is closed.
     pub fn conclude(&mut self, id: CrashId, has_ended: bool) -> Option<Ended> {
         let at = self.find(id).ok()?;
+        self.0[at].has_ended.send_replace(Some(has_ended));
         if !has_ended {
             self.0.remove(at);
             return None;
         }
         let case = &mut self.0[at];
-        case.has_ended = true;
         Some(Ended {
             since: case.since,
             suspects: std::mem::take(&mut case.suspects),
         })
     }
 
+    /// Tells whether the endpoint has ended, if something broke off there.
+    pub fn verdict(&self, id: CrashId) -> Option<Verdict> {
+        let at = self.find(id).ok()?;
+        Some(Verdict(self.0[at].has_ended.subscribe()))
+    }
+
     fn find(&self, id: CrashId) -> Result<usize, usize> {
         self.0.binary_search_by_key(&id, |case| case.id)
     }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -14,7 +14,7 @@
 use super::balance::{Criteria, candidates, choose};
 use super::buffers::BufferBudget;
 use super::control::{Event, Need};
-use super::crash_watch::CrashWatch;
+use super::crash_watch::{CrashWatch, Verdict};
 use super::fleet::{EndpointKey, FleetCell};
 use super::job::Job;
 use super::refusal::Refusal;
@@ -75,6 +75,9 @@
     pub attempted: Vec<EndpointKey>,
     /// Number of endpoints that may have run the request.
     pub runs: u32,
+    /// Whether the endpoint of the last run has ended, if that run broke off and a part
+    /// of the prompt may be the cause.
+    pub verdict: Option<Verdict>,
 }
 
 impl Forwarder {
@@ -119,7 +122,7 @@
                 Attempt::Answered(upstream) => {
                     let is_failure = upstream.status().is_server_error();
                     history.runs += 1;
-                    if is_failure && self.may_retry(job, history) {
+                    if is_failure && self.may_retry(job, history).await {
                         let status = upstream.status().as_u16();
                         job.log("request.endpoint_error", &[("status", status.into())]);
                         failure = Some(*upstream);
@@ -132,10 +135,11 @@
                     break;
                 }
                 Attempt::NotRun(code) => last = Refusal::new(code).retry_after(BUSY_RETRY_AFTER),
-                Attempt::Failed(code) => {
+                Attempt::Failed(code, verdict) => {
                     history.runs += 1;
+                    history.verdict = verdict;
                     last = Refusal::new(code);
-                    if !self.may_retry(job, history) {
+                    if !self.may_retry(job, history).await {
                         break;
                     }
                 }
@@ -152,11 +156,21 @@
         Err(last)
     }
 
-    /// Whether a request that may have run may be sent again.
-    pub fn may_retry(&self, job: &Job, history: &AttemptHistory) -> bool {
-        job.kind.is_retryable()
-            && history.runs < job.max_endpoints
-            && job.time_left(self.shared.now()) > Millis::ZERO
+    /// Whether a request that may have run may be sent again. If a part of its prompt
+    /// may have ended the endpoint, it waits until that is known.
+    pub async fn may_retry(&self, job: &Job, history: &mut AttemptHistory) -> bool {
+        let verdict = history.verdict.take();
+        let left = job.time_left(self.shared.now());
+        let is_allowed =
+            job.kind.is_retryable() && history.runs < job.max_endpoints && left > Millis::ZERO;
+        let Some(verdict) = verdict.filter(|_| is_allowed) else {
+            return is_allowed;
+        };
+        let has_ended = timeout(left.as_duration(), verdict.has_ended()).await;
+        if has_ended == Ok(true) {
+            job.log("request.repeat_withheld", &[]);
+        }
+        has_ended == Ok(false)
     }
 
     /// Takes a retry from the budget of the request's service, if one is left.
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -12,7 +12,7 @@
 use crate::code::Code;
 use crate::direct::answer::UpstreamBody;
 use crate::direct::connection::{Connection, ENDPOINT_LIMITS, ExchangeError, has_connection_close};
-use crate::direct::crash_watch::WatchedRun;
+use crate::direct::crash_watch::{Verdict, WatchedRun};
 use crate::direct::dialect::Registration;
 use crate::direct::document::RouteKind;
 use crate::direct::fleet::{EndpointKey, InFlight};
@@ -30,8 +30,9 @@
     Answered(Box<UpstreamResponse>),
     /// The request certainly did not run.
     NotRun(Code),
-    /// The request may have run.
-    Failed(Code),
+    /// The request may have run. If a part of its prompt may be the cause, the verdict
+    /// tells whether the endpoint has ended.
+    Failed(Code, Option<Verdict>),
 }
 
 /// A request that was sent to an endpoint.
@@ -63,7 +64,7 @@
             Err(_) => {
                 self.record_failure(key);
                 job.log("request.timed_out", &[]);
-                Attempt::Failed(Code::TimedOut)
+                Attempt::Failed(Code::TimedOut, None)
             }
         }
     }
@@ -123,10 +124,8 @@
                 match error {
                     ExchangeError::NotSent(_) => Attempt::NotRun(Code::NoEndpoint),
                     ExchangeError::Unanswered(_) => {
-                        if let Some(run) = run {
-                            run.record_break();
-                        }
-                        Attempt::Failed(Code::OutcomeUnknown)
+                        let verdict = run.and_then(|run| run.record_break());
+                        Attempt::Failed(Code::OutcomeUnknown, verdict)
                     }
                 }
             }
@@ -185,7 +184,7 @@
             .is_some_and(|id| *id != job.metadata.id)
         {
             job.log("request.crossed_answer", &[]);
-            return Attempt::Failed(Code::CrossedAnswer);
+            return Attempt::Failed(Code::CrossedAnswer, None);
         }
         in_flight.update_endpoint(|e| {
             e.health.record_data(now, true);
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -12,6 +12,7 @@
 
 use super::answer::ResponseBody;
 use super::buffers::{BufferedBody, read_body};
+use super::crash_watch::Verdict;
 use super::forward::{AttemptHistory, Forwarder, UpstreamResponse};
 use super::framing::{BodyEnd, Framing};
 use super::job::Job;
@@ -71,10 +72,13 @@
                 job.log("request.not_buffered", &[("bytes", beginning.len().into())]);
                 return Ok(relay_rest(forwarder, job, beginning, *upstream, history));
             }
-            Buffered::Broken if forwarder.may_retry(&job, &history) => {
+            Buffered::Broken(verdict) => {
+                history.verdict = verdict;
+                if !forwarder.may_retry(&job, &mut history).await {
+                    return Err(Refusal::new(Code::AnswerCut));
+                }
                 job.log("request.answer_broken", &[]);
             }
-            Buffered::Broken => return Err(Refusal::new(Code::AnswerCut)),
         }
     }
 }
@@ -82,7 +86,7 @@
 enum Buffered {
     Ended(Response<ResponseBody>),
     TooLong(Bytes, Box<UpstreamResponse>),
-    Broken,
+    Broken(Option<Verdict>),
 }
 
 /// Reads a response to its end before its head is sent to the caller, so that the
@@ -100,7 +104,8 @@
             let upstream = Response::from_parts(parts, *rest);
             return Buffered::TooLong(beginning, Box::new(upstream));
         }
-        Ok(BufferedBody::Broken) | Err(_) => return Buffered::Broken,
+        Ok(BufferedBody::Broken(verdict)) => return Buffered::Broken(verdict),
+        Err(_) => return Buffered::Broken(None),
     };
     remove_hop_by_hop_headers(&mut parts.headers);
     let status = parts.status.as_u16();
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -196,7 +196,7 @@
     /// Records that the endpoint's body broke off there, and returns the reason.
     fn upstream_broke(&mut self, why: &str) -> String {
         if let Some((upstream_body, _)) = &self.upstream {
-            upstream_body.record_break();
+            self.history.verdict = upstream_body.record_break();
         }
         self.upstream_failed(why)
     }
@@ -205,7 +205,7 @@
     /// for which the caller's copy cannot end there.
     fn upstream_ended(&mut self) -> String {
         if let Some((upstream_body, _)) = &mut self.upstream {
-            upstream_body.record_end();
+            self.history.verdict = upstream_body.record_end();
         }
         UNKNOWN_END.to_owned()
     }
@@ -314,7 +314,7 @@
             version: self.version.clone(),
         };
         let is_version_unknown = self.has_events && resume.version.is_none();
-        if is_version_unknown || !self.forwarder.may_retry(&self.job, &self.history) {
+        if is_version_unknown || !self.may_retry().await {
             return false;
         }
         self.job.log(
@@ -337,6 +337,16 @@
         }
     }
 
+    async fn may_retry(&mut self) -> bool {
+        let Self {
+            forwarder,
+            job,
+            history,
+            ..
+        } = self;
+        forwarder.may_retry(job, history).await
+    }
+
     fn finish(&mut self) {
         let now = self.forwarder.shared.now();
         if let Some((upstream_body, _)) = self.upstream.take() {
--- a/tests/direct_crash_watch.rs
+++ b/tests/direct_crash_watch.rs
@@ -1,6 +1,7 @@
 //! Checks, without network, of what runs that break off say about the parts of their
 //! prompts.
 
+use futures_util::FutureExt as _;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng as _};
 use rattanstall::clock::Millis;
@@ -168,3 +169,21 @@
     assert_eq!(due(6_000, &[1, 2, 3]), [1, 2]);
     assert_eq!(due(6_400, &[3, 3]), [3]);
 }
+
+// Guards against a request that goes to the next endpoint before it is known whether it
+// ended the last one, and against one that waits for a probe that is over.
+#[test]
+fn a_verdict_is_known_as_soon_as_the_probe_is_over() {
+    for has_ended in [true, false] {
+        let mut cases = Cases::default();
+        assert!(cases.verdict(ENDPOINT).is_none());
+        cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)]);
+        let verdict = cases.verdict(ENDPOINT).expect("a probe");
+        assert_eq!(verdict.clone().has_ended().now_or_never(), None);
+        cases.conclude(ENDPOINT, has_ended);
+        assert_eq!(verdict.has_ended().now_or_never(), Some(has_ended));
+        let late = cases.verdict(ENDPOINT);
+        let late = late.and_then(|verdict| verdict.has_ended().now_or_never());
+        assert_eq!(late, has_ended.then_some(true));
+    }
+}
