--- a/src/direct/refusal.rs
+++ b/src/direct/refusal.rs
@@ -88,7 +88,7 @@
             "request.part_blocked",
             &[
                 ("request", (&metadata.id).into()),
-                ("part", (&format!("{:x}", part.0)).into()),
+                ("part", (&format!("{:016x}", part.0)).into()),
             ],
         );
     }
