Repeat requests after a crash if their parts were answered within a minute

In a large fleet one gateway sees a sound part more seldom than every 10 s, the time for which a report leaves it out. Without this, a crash of any cause would end the repeats and resumes of all requests that had not got under way there. Only a part that was not answered at this gateway for a minute now withholds a repeat; reports keep the 10 s.

--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -17,7 +17,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-pub use cases::{Cases, Ended, ProgressLog, Step, Suspect, Verdict, reported_parts, suspects_of};
+pub use cases::{
+    Cases, Ended, ProgressLog, Step, Suspect, Verdict, is_dangerous, reported_parts, suspects_of,
+};
 
 use super::control::Event;
 use super::dialect::Registration;
@@ -83,9 +85,9 @@
             Step::Report(ended) if ended.suspects.is_empty() => {}
             Step::Report(ended) => self.report(id, &run.endpoint, &ended),
         }
-        match suspects.is_empty() {
-            true => None,
-            false => cases.verdict(id),
+        match is_dangerous(&self.shared.parts, now, &suspects) {
+            true => cases.verdict(id),
+            false => None,
         }
     }
 
--- a/src/direct/crash_watch/cases.rs
+++ b/src/direct/crash_watch/cases.rs
@@ -39,6 +39,12 @@
         .collect()
 }
 
+/// Whether a request with these suspects may end the next endpoint as well: one of them
+/// has not been answered here for long.
+pub fn is_dangerous(table: &PartTable, now: Millis, suspects: &[Suspect]) -> bool {
+    suspects.iter().any(|s| !table.is_repeatable(now, s.part))
+}
+
 /// What has to be done after a run broke off.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/src/direct/part_table.rs
+++ b/src/direct/part_table.rs
@@ -12,6 +12,9 @@
 
 /// How long a part counts as answered lately.
 const PROOF_LIFETIME: Millis = Millis(10_000);
+/// How long a request whose parts were answered may be repeated although an endpoint
+/// ended under it: in a large fleet one gateway sees each part seldom.
+const REPEAT_LIFETIME: Millis = Millis(60_000);
 /// Sets of the table of answered parts. With 4 entries of 24 bytes each: 384 KB.
 const PROOF_SETS: usize = 1 << 12;
 /// Entries of one set. Callers choose identifiers, so a set holds a few only.
@@ -164,6 +167,13 @@
         answered.is_some_and(|at| now.since(at) < PROOF_LIFETIME)
     }
 
+    /// Whether a part was answered here, longer ago too, so that it is unlikely to end
+    /// endpoints.
+    pub fn is_repeatable(&self, now: Millis, part: PartId) -> bool {
+        let answered = self.answered_at(part);
+        answered.is_some_and(|at| now.since(at) < REPEAT_LIFETIME)
+    }
+
     /// A panic in one thread leaves the table consistent.
     fn proofs(&self) -> MutexGuard<'_, Proofs> {
         self.proofs.lock().unwrap_or_else(|e| e.into_inner())
--- a/tests/direct_crash_watch.rs
+++ b/tests/direct_crash_watch.rs
@@ -6,7 +6,7 @@
 use rand_chacha::rand_core::{Rng, SeedableRng as _};
 use rattanstall::clock::Millis;
 use rattanstall::direct::crash_watch::{
-    Cases, Ended, ProgressLog, Step, Suspect, reported_parts, suspects_of,
+    Cases, Ended, ProgressLog, Step, Suspect, is_dangerous, reported_parts, suspects_of,
 };
 use rattanstall::direct::part_table::{PartLists, PartTable};
 use rattanstall::direct::request::PromptPart;
@@ -48,6 +48,22 @@
     assert_eq!(suspects_of(&table, NOW, &only_last, false), []);
 }
 
+// Guards against a sound request that is not repeated after a crash because its parts come
+// to one gateway seldom, and against a repeat of one that has a part never answered.
+#[test]
+fn a_request_is_repeated_if_its_parts_were_answered_within_a_minute() {
+    let table = PartTable::default();
+    table.record_progress(NOW, &parts([1, 2]));
+    let later = NOW + Millis(59_999);
+    let suspects = suspects_of(&table, later, &parts([1, 2]), false);
+    assert_eq!(names(&suspects), [1, 2]);
+    assert!(!is_dangerous(&table, later, &suspects));
+    assert!(is_dangerous(&table, NOW + Millis(60_000), &suspects));
+    let suspects = suspects_of(&table, later, &parts([1, 2, 3]), false);
+    assert!(is_dangerous(&table, later, &suspects));
+    assert!(!is_dangerous(&table, later, &[]));
+}
+
 // Guards against several probes of one endpoint at a time, and against runs that break
 // off during the probe and are forgotten.
 #[test]
