Blocked parts are recorded in the store and outlive a restart of all gateways

Blocks lived in the gateways' memory only. They are now recorded under one key, by compare-and-swap, by the gateways that decided; with one key for each part nothing would remove old keys. Each gateway reads the record with the key of the leader and the registrations: at start, with each change, and when the store is regained. If the record lacks a block for 2 s, the first gateway by name writes it, so it is recorded also if the gateways that decided are lost or the store was away or comes back from an older copy.

tests/direct_part_exchange.rs, seeded, one datagram in ten lost, 3, 22 and 100 gateways: after a restart of all gateways each one refuses the part within 100 ms; at most three writes and ten attempts for a block that nine gateways decided; one write by another gateway after the store was away or the record was lost.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 mod background_calls;
 pub mod balance;
+pub mod block_record;
 pub mod buffers;
 mod caller_stream;
 pub mod connection;
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -229,6 +229,10 @@
             Event::EndpointCrashed(report) => self.endpoint_crashed(now, report, &mut out),
             Event::PartsProgressed(progress) => self.parts_progressed(now, progress),
             Event::PartsChecked(answered) => self.parts_checked(now, answered),
+            Event::BlocksRecorded { revision, blocks } => {
+                self.blocks_recorded(now, revision, blocks)
+            }
+            Event::RecordFailed => self.record_failed(now),
             Event::OrderAnswered {
                 endpoint,
                 order,
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -17,7 +17,7 @@
 use crate::direct::part_table::PartLists;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
-use crate::direct::suspects::{CrashReport, PartId, PartProgress};
+use crate::direct::suspects::{Block, CrashReport, PartId, PartProgress};
 use crate::direct::view::LoadTable;
 
 /// The content of the leader key in the store.
@@ -98,6 +98,15 @@
     PartsProgressed(Vec<PartProgress>),
     /// These parts were answered here, in reply to [`Effect::CheckParts`].
     PartsChecked(Vec<PartProgress>),
+    /// The record of blocks in the store was read or written, or has changed.
+    BlocksRecorded {
+        /// Its revision; 0 if it does not exist.
+        revision: u64,
+        /// The blocks with their ages.
+        blocks: Vec<Block>,
+    },
+    /// The record of blocks could not be written.
+    RecordFailed,
     /// A request needs more tokens of a limit than this gateway has.
     TokensNeeded {
         /// The workspace.
@@ -153,6 +162,7 @@
             Self::EndpointCrashed(_) => "endpoint_crashed",
             Self::PartsProgressed(_) => "parts_progressed",
             Self::PartsChecked(_) => "parts_checked",
+            Self::BlocksRecorded { .. } | Self::RecordFailed => "blocks_recorded",
             Self::TokensNeeded { .. } => "tokens_needed",
             Self::OrderAnswered { .. } => "order_answered",
             Self::Reported { .. } => "reported",
@@ -223,6 +233,13 @@
         /// How long ago an answer may have been.
         max_age: Millis,
     },
+    /// Write the record of blocks to the store.
+    RecordBlocks {
+        /// The revision that it must have; 0 if it must not exist.
+        expected: u64,
+        /// The blocks with their ages.
+        blocks: Vec<Block>,
+    },
     /// Fetch the configuration from a gateway if it has a newer one than this one.
     PullConfiguration(SocketAddr),
     /// Try to claim the leader key.
--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod outbox;
+mod storage;
 
 use compact_str::{CompactString, format_compact};
 
@@ -17,6 +18,7 @@
 
 use exchange::Exchange;
 use outbox::Outbox;
+use storage::Storage;
 
 /// Time between two publications, so that a burst of messages costs a few only.
 const PUBLISH_INTERVAL: Millis = Millis(10);
@@ -57,6 +59,7 @@
     lists: PartLists,
     outbox: Outbox,
     exchange: Exchange,
+    storage: Storage,
     /// Parts in the crashes that this gateway saw, and when, sorted by part.
     reported: Vec<(PartId, Millis)>,
     /// When this or another gateway last said that a part was answered, sorted by part.
@@ -187,12 +190,21 @@
                 continue;
             }
             self.parts.has_changed = true;
+            self.note_own_lift(progress.part);
             if is_news || self.clears(progress.part) {
                 self.parts.outbox.push_progress(now, Millis::ZERO, progress);
             }
         }
     }
 
+    /// Notes that this gateway's own progress lifted a block, if it did.
+    fn note_own_lift(&mut self, part: PartId) {
+        let was_blocked = self.parts.lists.blocked.binary_search(&part).is_ok();
+        if was_blocked && self.parts.evidence.blocked().binary_search(&part).is_err() {
+            self.parts.storage.note_own_change();
+        }
+    }
+
     /// Whether a part that the traffic thread watches is no longer suspect.
     fn clears(&self, part: PartId) -> bool {
         let was_watched = self.parts.lists.watched.binary_search(&part).is_ok();
@@ -204,6 +216,7 @@
         for progress in answered {
             let is_news = self.parts.is_news(now, progress);
             self.parts.has_changed |= self.parts.evidence.record_progress(now, progress);
+            self.note_own_lift(progress.part);
             if is_news || !self.parts.was_told_lately(now, progress.part) {
                 self.parts.note_told(now, progress.part);
                 let delay = self.answer_delay(progress.part);
@@ -267,6 +280,7 @@
         self.decide_on_parts(now, out);
         self.report_back(now, out);
         self.exchange_parts(now, out);
+        self.record_blocks(now, out);
     }
 
     fn decide_on_parts(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -277,11 +291,13 @@
                 // All gateways decide alike; those that saw a crash tell the others.
                 if self.parts.has_reported(block.part) {
                     self.parts.outbox.push_block(now, block);
+                    self.parts.storage.note_own_change();
                 }
             }
         }
         if std::mem::take(&mut self.parts.has_changed) {
             self.parts.next_publication = now + PUBLISH_INTERVAL;
+            self.parts.storage.note_change();
             self.publish_parts(now, out);
         }
     }
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -129,6 +129,9 @@
             }
             Effect::PublishParts(lists) => self.shared.parts.publish(lists),
             Effect::CheckParts { parts, max_age } => self.check_parts(&parts, max_age),
+            Effect::RecordBlocks { expected, blocks } => {
+                spawn_local(calls.clone().record_blocks(expected, blocks));
+            }
             Effect::ClaimLeadership {
                 expected,
                 is_succession,
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -56,7 +56,9 @@
         | Event::StoreAnswered
         | Event::EndpointCrashed(_)
         | Event::PartsProgressed(_)
-        | Event::PartsChecked(_) => Lane::Endpoints,
+        | Event::PartsChecked(_)
+        | Event::BlocksRecorded { .. }
+        | Event::RecordFailed => Lane::Endpoints,
         Event::Datagram(datagram) if datagram.message.is_about_parts() => Lane::Endpoints,
         Event::Tick(_)
         | Event::Usage(_)
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -7,12 +7,13 @@
 use compact_str::CompactString;
 use tokio::time::sleep;
 
+use super::block_record;
 use super::control::{Event, LeaderRecord};
 use super::dialect::{Item, Page, StoreError};
 use super::members::Member;
 use super::queue::EventSender;
 use super::store::Store;
-use crate::clock::{Clock, Millis};
+use crate::clock::{Clock, Millis, unix_now};
 use crate::journal;
 
 /// How long a watch call waits for changes. A waiting watch counts as one call. A
@@ -201,7 +202,24 @@
 /// The key that holds the fleet's secret.
 pub const SECRET_KEY: &str = "rattanstall/secret";
 
-/// Follows the gateway registrations and the leader key.
+/// The key that holds the blocked parts.
+pub const BLOCKS_KEY: &str = "rattanstall/blocks";
+
+/// The record of blocked parts; without an item, it does not exist.
+pub fn decode_blocks(item: Option<&Item>) -> Event {
+    let value = item.and_then(|item| item.value.as_ref());
+    let blocks = value.map(|value| block_record::decode(unix_now(), value));
+    let blocks = blocks.unwrap_or_else(|| Ok(Vec::new()));
+    Event::BlocksRecorded {
+        revision: item.map_or(0, |i| if i.value.is_some() { i.revision } else { 0 }),
+        blocks: blocks.unwrap_or_else(|error| {
+            log_skipped(BLOCKS_KEY, &error.to_string());
+            Vec::new()
+        }),
+    }
+}
+
+/// Follows the gateway registrations, the leader key and the blocked parts.
 pub struct FleetFollower;
 
 impl FleetFollower {
@@ -238,6 +256,7 @@
         vec![
             Event::Members(members),
             Event::LeaderKey(leader.and_then(Self::decode_leader)),
+            decode_blocks(page.items.iter().find(|item| item.key == BLOCKS_KEY)),
         ]
     }
 
@@ -245,6 +264,9 @@
         if item.key == LEADER_KEY {
             return Some(Event::LeaderKey(Self::decode_leader(&item)));
         }
+        if item.key == BLOCKS_KEY {
+            return Some(decode_blocks(Some(&item)));
+        }
         let name = item.key.strip_prefix(MEMBER_PREFIX)?;
         match item.value {
             Some(_) => Self::decode_member(&item).map(Event::MemberPut),
--- a/tests/direct_part_exchange.rs
+++ b/tests/direct_part_exchange.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
 use rattanstall::clock::Millis;
+use rattanstall::direct::block_record;
 use rattanstall::direct::suspects::{Block, BlockCause, BlockState, Evidence, PartId};
 
 use part_fleet::PartFleet;
@@ -67,6 +68,7 @@
     for (gateways, seeds) in [(3, 40), (22, 20), (100, 4)] {
         for seed in 0..seeds {
             let mut fleet = PartFleet::new(seed, gateways, LOSS);
+            fleet.store.is_away = true;
             pass_with_traffic(&mut fleet, Millis(1_000));
             crash_three_times(&mut fleet);
             fleet.run(BLOCK_TIME);
@@ -85,6 +87,7 @@
     for (gateways, seeds) in [(3, 40), (22, 20), (100, 4)] {
         for seed in 0..seeds {
             let mut fleet = PartFleet::new(seed, gateways, 0);
+            fleet.store.is_away = true;
             for _ in 0..3 {
                 let own = PartId(fleet.draw(usize::MAX) as u64);
                 fleet.crash(&[(0, vec![COMMON, BAD, own])]);
@@ -162,6 +165,7 @@
             // Shorter and longer than its registration lasts.
             for cut in [Millis(900), Millis(2_000), Millis(6_000)] {
                 let mut fleet = PartFleet::new(seed, gateways, LOSS);
+                fleet.store.is_away = true;
                 let away = fleet.draw(gateways);
                 fleet.cut_off(away);
                 for _ in 0..3 {
@@ -191,6 +195,7 @@
     for (gateways, seeds) in [(3, 20), (22, 10), (100, 2)] {
         for seed in 0..seeds {
             let mut fleet = PartFleet::new(seed, gateways, LOSS);
+            fleet.store.is_away = true;
             fleet.cut_off(0);
             for _ in 0..3 {
                 fleet.crash(&[(0, vec![BAD])]);
@@ -216,6 +221,7 @@
             // Faster and slower than the others notice.
             for down in [Millis(50), Millis(2_000)] {
                 let mut fleet = PartFleet::new(seed, gateways, LOSS);
+                fleet.store.is_away = true;
                 crash_three_times(&mut fleet);
                 fleet.run(BLOCK_TIME);
                 let at = fleet.draw(gateways);
@@ -298,3 +304,97 @@
         assert_eq!(states.len(), 1, "{states:?}");
     }
 }
+
+/// Guards against blocks that are lost when all gateways restart at once, and against
+/// gateways that all write to the store.
+#[test]
+fn blocks_outlive_a_restart_of_all_gateways() {
+    for (gateways, seeds) in [(3, 20), (22, 10), (100, 2)] {
+        for seed in 0..seeds {
+            let mut fleet = PartFleet::new(seed, gateways, LOSS);
+            crash_three_times(&mut fleet);
+            fleet.run(BLOCK_TIME);
+            fleet.restart_all();
+            fleet.run(Millis(100));
+            let differing = fleet.differing(&[BAD]);
+            assert!(
+                differing.is_empty(),
+                "{gateways}, seed {seed}: {differing:?}"
+            );
+            fleet.run(Millis(20_000));
+            // Three crashes with three witnesses each.
+            let (attempts, writes) = (fleet.store.attempts, fleet.store.writes);
+            assert!(
+                attempts <= 10,
+                "{gateways}, seed {seed}: {attempts} attempts"
+            );
+            assert!(writes <= 3, "{gateways}, seed {seed}: {writes} writes");
+        }
+    }
+}
+
+/// Guards against a block that is never recorded: the store is away when it is decided,
+/// or the gateways that decided it are lost.
+#[test]
+fn a_block_is_recorded_later_if_the_store_or_its_witness_is_lost() {
+    for (gateways, seeds) in [(3, 20), (22, 5)] {
+        for seed in 0..seeds {
+            for is_store_away in [true, false] {
+                let mut fleet = PartFleet::new(seed, gateways, LOSS);
+                fleet.store.is_away = is_store_away;
+                for _ in 0..3 {
+                    fleet.crash(&[(0, vec![BAD])]);
+                    fleet.run(Millis(150));
+                    if fleet.store.writes > 0 {
+                        break;
+                    }
+                }
+                if !is_store_away {
+                    fleet.store.forget();
+                    fleet.kill(0);
+                }
+                fleet.run(Millis(3_000));
+                fleet.bring_store_back();
+                // Each gateway that ranks later waits longer.
+                fleet.run(Millis(4_000));
+                assert_eq!(fleet.store.writes, 1, "{gateways}, seed {seed}");
+                fleet.restart_all();
+                fleet.run(Millis(100));
+                let differing = fleet.differing(&[BAD]);
+                assert!(
+                    differing.is_empty(),
+                    "{gateways}, seed {seed}: {differing:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a record that one unknown entry makes unreadable, and against blocks
+/// that seem new again after a restart.
+#[test]
+fn the_record_of_blocks_keeps_ages_and_skips_unknown_entries() {
+    let block = Block {
+        part: BAD,
+        generation: 3,
+        state: BlockState::Blocked,
+        cause: BlockCause::Crashes(vec!["e-1".into()]),
+        since: Millis(5_000),
+    };
+    let value = block_record::encode(Millis(70_000), std::slice::from_ref(&block)).unwrap();
+    let aged = Block {
+        since: Millis(9_000),
+        ..block.clone()
+    };
+    let decoded = block_record::decode(Millis(74_000), &value).unwrap();
+    assert_eq!(decoded, [aged]);
+    // The reader's clock may be behind.
+    let decoded = block_record::decode(Millis(60_000), &value).unwrap();
+    assert_eq!(decoded, std::slice::from_ref(&block));
+    let text = String::from_utf8(value.to_vec()).unwrap();
+    let with_unknown = text.replace("\"blocks\":[", "\"blocks\":[{\"state\":\"Frozen\"},");
+    assert_ne!(with_unknown, text);
+    let decoded = block_record::decode(Millis(70_000), with_unknown.as_bytes()).unwrap();
+    assert_eq!(decoded, [block]);
+    assert!(block_record::decode(Millis(70_000), b"{").is_err());
+}
--- a/tests/support/part_fleet.rs
+++ b/tests/support/part_fleet.rs
@@ -17,7 +17,7 @@
 };
 use rattanstall::direct::members::Member;
 use rattanstall::direct::part_table::PartLists;
-use rattanstall::direct::suspects::{CrashId, CrashReport, PartId, PartProgress};
+use rattanstall::direct::suspects::{Block, CrashId, CrashReport, PartId, PartProgress};
 
 use crate::fleet::{gateway, settings};
 
@@ -25,6 +25,8 @@
 const USAGE: Millis = Millis(250);
 /// Largest time that a datagram travels.
 const MAX_TRAVEL: usize = 5;
+/// The time that a call takes to the store.
+const STORE_TRAVEL: Millis = Millis(4);
 /// How long a gateway stays registered after it was cut off.
 const LEASE: Millis = Millis(3_000);
 /// How long ago an answer makes a gateway leave a part out of its reports.
@@ -64,6 +66,32 @@
     /// The same for messages to one gateway each.
     pub exchanged: Counts,
     crashes: u64,
+    pub store: StandInStore,
+}
+
+/// The store with the record of blocks.
+#[derive(Debug, Default)]
+pub struct StandInStore {
+    pub is_away: bool,
+    revision: u64,
+    /// The blocks, with their ages as of `written_at`.
+    blocks: Vec<Block>,
+    written_at: Millis,
+    /// Calls on their way: arrival, writer, expected revision and blocks.
+    calls: Vec<(Millis, usize, u64, Vec<Block>)>,
+    /// Calls that arrived, and those that changed the record.
+    pub attempts: u64,
+    pub writes: u64,
+}
+
+impl StandInStore {
+    /// The store comes back from an older copy.
+    pub fn forget(&mut self) {
+        *self = Self {
+            revision: self.revision + 1,
+            ..Self::default()
+        };
+    }
 }
 
 impl PartFleet {
@@ -79,12 +107,14 @@
             counts: Counts::default(),
             exchanged: Counts::default(),
             crashes: 0,
+            store: StandInStore::default(),
         };
         for at in 0..count {
             fleet.gateways.push(Gateway::new(at, 1));
         }
         for at in 0..count {
             fleet.reduce(at, Event::Members(fleet.members()));
+            fleet.reduce(at, fleet.record());
         }
         fleet.run(Millis(600));
         fleet.counts = Counts::default();
@@ -114,6 +144,10 @@
                         self.send(at, &to, message, true);
                     }
                     Effect::Send(to, message) => self.send(at, &[to], message, false),
+                    Effect::RecordBlocks { expected, blocks } => {
+                        let arrives = self.now + STORE_TRAVEL;
+                        self.store.calls.push((arrives, at, expected, blocks));
+                    }
                     Effect::PublishParts(lists) => self.gateways[at].lists = lists,
                     Effect::CheckParts { parts, max_age } => {
                         let answered = self.answered(at, &parts, max_age);
@@ -194,10 +228,77 @@
                     None => BTreeMap::new(),
                 };
             }
+            self.answer_store_calls();
             self.tick();
         }
     }
 
+    /// What the store answers to a reading.
+    fn record(&self) -> Event {
+        let elapsed = self.now.since(self.store.written_at);
+        let blocks = self.store.blocks.iter().cloned();
+        Event::BlocksRecorded {
+            revision: self.store.revision,
+            blocks: blocks
+                .map(|b| Block {
+                    since: b.since + elapsed,
+                    ..b
+                })
+                .collect(),
+        }
+    }
+
+    fn answer_store_calls(&mut self) {
+        let now = self.now;
+        let calls = std::mem::take(&mut self.store.calls);
+        let (arrived, waiting) = calls.into_iter().partition(|call| call.0 <= now);
+        self.store.calls = waiting;
+        let arrived: Vec<(Millis, usize, u64, Vec<Block>)> = arrived;
+        for (_, writer, expected, blocks) in arrived {
+            if !self.gateways[writer].is_up {
+                continue;
+            }
+            self.store.attempts += 1;
+            if self.store.is_away || self.gateways[writer].is_cut_off {
+                self.reduce(writer, Event::StoreLost);
+                self.reduce(writer, Event::RecordFailed);
+                continue;
+            }
+            if expected == self.store.revision {
+                self.store.writes += 1;
+                self.store.revision += 1;
+                self.store.blocks = blocks;
+                self.store.written_at = now;
+                self.tell_others(writer, self.record());
+            }
+            self.reduce(writer, self.record());
+        }
+    }
+
+    /// The store is reachable again, and all gateways read the record.
+    pub fn bring_store_back(&mut self) {
+        self.store.is_away = false;
+        for at in 0..self.gateways.len() {
+            if !self.gateways[at].is_up {
+                continue;
+            }
+            self.reduce(at, Event::StoreAnswered);
+            self.reduce(at, self.record());
+        }
+    }
+
+    /// All gateways end at once and start again.
+    pub fn restart_all(&mut self) {
+        for at in 0..self.gateways.len() {
+            self.kill(at);
+        }
+        self.in_flight.clear();
+        self.run(Millis(500));
+        for at in 0..self.gateways.len() {
+            self.restart(at);
+        }
+    }
+
     fn tick(&mut self) {
         for at in 0..self.gateways.len() {
             // The ticks of the gateways do not coincide.
@@ -240,6 +341,7 @@
         let put = Event::MemberPut(member(at, gateway.boot));
         self.tell_others(at, put);
         self.reduce(at, Event::Members(self.members()));
+        self.reduce(at, self.record());
     }
 
     /// A gateway ends without a word; its registration lapses later.
@@ -253,6 +355,9 @@
         self.gateways[at] = Gateway::new(at, boot);
         self.tell_others(at, Event::MemberPut(member(at, boot)));
         self.reduce(at, Event::Members(self.members()));
+        if !self.store.is_away {
+            self.reduce(at, self.record());
+        }
     }
 
     /// An answer with a part gets under way at a gateway.
