SIGHUP no longer ends a process

Cause: no program installed a handler for SIGHUP, and the system's default action ends the process.

SIGHUP is logged (process.signal) and has no other effect yet.

Why it works: a caught signal never takes the default action; the window left is the time from exec to the first lines of main, in which nothing is open.

Ruled out: ignoring the signal (SIG_IGN) would do for the process, but leaves no trace in the log and no way to read the settings again.

--- a/src/bin/rattanstall-agent/main.rs
+++ b/src/bin/rattanstall-agent/main.rs
@@ -4,7 +4,7 @@
 
 use rattanstall::cli::{Invocation, parse_daemon_args, report_result};
 use rattanstall::error::Result;
-use rattanstall::{agent, logs, settings};
+use rattanstall::{agent, logs, settings, signals};
 
 const PROGRAM: &str = "rattanstall-agent";
 
@@ -19,6 +19,7 @@
 }
 
 fn run(file: &std::path::Path) -> Result<()> {
+    signals::install(logs::log_signal)?;
     let settings: settings::AgentSettings = settings::read(file)?;
     let _log = logs::start(&settings.log)?;
     agent::run(settings)
--- a/src/bin/rattanstall-gateway/main.rs
+++ b/src/bin/rattanstall-gateway/main.rs
@@ -4,7 +4,7 @@
 
 use rattanstall::cli::{Invocation, parse_daemon_args, report_result};
 use rattanstall::error::Result;
-use rattanstall::{gateway, logs, settings};
+use rattanstall::{gateway, logs, settings, signals};
 
 const PROGRAM: &str = "rattanstall-gateway";
 
@@ -19,6 +19,7 @@
 }
 
 fn run(file: &std::path::Path) -> Result<()> {
+    signals::install(logs::log_signal)?;
     let settings: settings::GatewaySettings = settings::read(file)?;
     let _log = logs::start(&settings.log)?;
     gateway::run(settings)
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -37,6 +37,7 @@
 pub mod refusal;
 pub mod registry;
 mod relay;
+pub mod reload;
 pub mod request;
 pub mod resume;
 pub mod retry_budget;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -6,6 +6,7 @@
 use crate::error::{Error, Result};
 use crate::journal;
 use crate::settings::LogSettings;
+use crate::signals::Action;
 
 /// Starts logging to standard error. The handle must live as long as the process.
 pub fn start(settings: &LogSettings) -> Result<LoggerHandle> {
@@ -22,6 +23,11 @@
         .map_err(log_error)
 }
 
+/// Logs a signal that arrived.
+pub fn log_signal(signal: &str, action: Action) {
+    log::info!("{signal} arrived: {}", action.as_str());
+}
+
 /// Writes the records of the `log` macros as structured log lines.
 struct JournalWriter;
 
