A stop signal ends every program in order at any moment

Change: Signals, installed first in main, also handles SIGTERM and SIGINT. Until begin_service() they end the process at once with code 0; from then on the first one starts the drain and the others are logged and ignored. The lock in stop() leaves no moment between the two. Stand-ins end at once on SIGTERM, SIGINT and SIGHUP, with code 0; quickstart stops its fleet first, which would otherwise outlive it now that SIGHUP ends no daemon.

Not run: quickstart under signals.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -29,7 +29,7 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Txn};
 use crate::settings::{AgentSettings, EndpointSettings};
-use crate::signals::wait_for_stop;
+use crate::signals::Signals;
 use crate::tls::Identity;
 use crate::transport::{bind, read_frame, write_frame};
 use crate::wire::{Action, AgentStatus, EndpointKind, Fence, Hello, Order, OrderReply};
@@ -75,16 +75,17 @@
 }
 
 /// Runs an agent until it is told to stop and its last call has ended.
-pub fn run(settings: AgentSettings) -> Result<()> {
+pub fn run(settings: AgentSettings, signals: Signals) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the runtime", e))?;
-    LocalSet::new().block_on(&runtime, run_local(settings))
+    LocalSet::new().block_on(&runtime, run_local(settings, signals))
 }
 
-async fn run_local(settings: AgentSettings) -> Result<()> {
+async fn run_local(settings: AgentSettings, signals: Signals) -> Result<()> {
     let identity = Identity::load(&settings.tls)?;
+    signals.begin_service();
     let socket = bind(settings.peer, &identity)?;
     let metrics = Arc::new(Metrics::new("rattanstall-agent")?);
     let (tx, admin_requests) = mpsc::unbounded_channel();
@@ -93,7 +94,7 @@
     spawn_local(agent.clone().init_fences());
     spawn_local(agent.clone().poll_endpoint());
     spawn_local(agent.clone().accept(socket.clone()));
-    spawn_local(forward_signals(tx));
+    spawn_local(forward_signals(signals, tx));
     log::info!("agent {} is up", agent.settings.name);
     agent.clone().serve_admin(admin_requests).await;
     agent.drain().await;
@@ -366,8 +367,8 @@
     }
 }
 
-/// Turns the first SIGTERM or SIGINT into a graceful shutdown.
-pub(crate) async fn forward_signals(tx: mpsc::UnboundedSender<AdminRequest>) {
-    wait_for_stop().await;
+/// Turns the first stop signal into a graceful shutdown.
+pub(crate) async fn forward_signals(signals: Signals, tx: mpsc::UnboundedSender<AdminRequest>) {
+    signals.stopped().await;
     let _ = tx.send(AdminRequest::Drain);
 }
--- a/src/bin/rattanstall-agent/main.rs
+++ b/src/bin/rattanstall-agent/main.rs
@@ -4,7 +4,8 @@
 
 use rattanstall::cli::{Invocation, parse_daemon_args, report_result};
 use rattanstall::error::Result;
-use rattanstall::{agent, logs, settings, signals};
+use rattanstall::signals::{Action, Signals};
+use rattanstall::{agent, logs, settings};
 
 const PROGRAM: &str = "rattanstall-agent";
 
@@ -19,8 +20,8 @@
 }
 
 fn run(file: &std::path::Path) -> Result<()> {
-    signals::install(logs::log_signal)?;
+    let signals = Signals::install(Action::Ignore, logs::log_signal)?;
     let settings: settings::AgentSettings = settings::read(file)?;
     let _log = logs::start(&settings.log)?;
-    agent::run(settings)
+    agent::run(settings, signals)
 }
--- a/src/bin/rattanstall-gateway/main.rs
+++ b/src/bin/rattanstall-gateway/main.rs
@@ -4,7 +4,8 @@
 
 use rattanstall::cli::{Invocation, parse_daemon_args, report_result};
 use rattanstall::error::Result;
-use rattanstall::{gateway, logs, settings, signals};
+use rattanstall::signals::{Action, Signals};
+use rattanstall::{gateway, logs, settings};
 
 const PROGRAM: &str = "rattanstall-gateway";
 
@@ -19,8 +20,8 @@
 }
 
 fn run(file: &std::path::Path) -> Result<()> {
-    signals::install(logs::log_signal)?;
+    let signals = Signals::install(Action::Ignore, logs::log_signal)?;
     let settings: settings::GatewaySettings = settings::read(file)?;
     let _log = logs::start(&settings.log)?;
-    gateway::run(settings)
+    gateway::run(settings, signals)
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -55,7 +55,6 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -63,6 +62,7 @@
 use crate::error::{Error, Result};
 use crate::http::{Server, serve};
 use crate::metrics::Metrics;
+use crate::signals::Signals;
 use crate::{journal, logs};
 
 use dialect::Dialect;
@@ -86,9 +86,15 @@
 /// Interval at which the traffic thread publishes this gateway's load.
 const LOAD_PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Runs a gateway until SIGTERM arrives and its open requests have ended or the
+/// Runs a gateway until a stop signal arrives and its open requests have ended or the
 /// grace period is nearly over.
-pub fn run(settings: Settings, dialect: Arc<dyn Dialect>, max_descriptors: u32) -> Result<()> {
+pub fn run(
+    settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    max_descriptors: u32,
+    signals: &Signals,
+) -> Result<()> {
+    signals.begin_service();
     let _log = logs::start_in_journal()?;
     journal::write(
         "process.started",
@@ -129,7 +135,7 @@
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
-    let traffic = serve_callers(shared, listener, max_descriptors);
+    let traffic = serve_callers(shared, listener, max_descriptors, signals);
     LocalSet::new().block_on(&runtime, traffic)?;
     if let Some(exporter) = exporter {
         exporter.stop();
@@ -166,15 +172,14 @@
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
     max_descriptors: u32,
+    signals: &Signals,
 ) -> Result<()> {
     let listener =
         TcpListener::from_std(listener).map_err(|e| Error::io("accepting callers", e))?;
-    let mut stop =
-        signal(SignalKind::terminate()).map_err(|e| Error::io("listening for SIGTERM", e))?;
     let front = Front::new(shared.clone(), max_descriptors);
     spawn_local(publish_load(shared.clone(), front.clone()));
     let accepting = spawn_local(front.accept(listener));
-    stop.recv().await;
+    signals.stopped().await;
     drain(&shared).await;
     accepting.abort();
     shared.send_event(control::Event::Stop);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::settings::GatewaySettings;
+use crate::signals::Signals;
 use crate::tls::Identity;
 use crate::transport::bind;
 use crate::wire::Member;
@@ -45,9 +46,10 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs a gateway until it is told to stop and its last request has ended.
-pub fn run(settings: GatewaySettings) -> Result<()> {
+pub fn run(settings: GatewaySettings, signals: Signals) -> Result<()> {
     let io = io_runtime()?;
     let identity = Identity::load(&settings.tls)?;
+    signals.begin_service();
     let metrics = Arc::new(Metrics::new("rattanstall-gateway")?);
     let platform = Platform::new(settings.platform);
     let me = Member {
@@ -77,6 +79,7 @@
         peers,
         events,
         admin_requests,
+        signals,
     };
     driver.run(event_rx, admin_request_rx)?;
     server.stop();
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -22,6 +22,7 @@
 use crate::placement::AgentOrder;
 use crate::platform::Platform;
 use crate::settings::GatewaySettings;
+use crate::signals::Signals;
 use crate::transport::FrameReader;
 use crate::wire::{Hello, Member, OrderReply};
 
@@ -43,6 +44,7 @@
     pub peers: Peers,
     pub events: UnboundedSender<Event>,
     pub admin_requests: UnboundedSender<AdminRequest>,
+    pub signals: Signals,
 }
 
 impl Driver {
@@ -73,7 +75,10 @@
             self.shared.clone(),
         ));
         background.clone().start();
-        spawn_local(forward_signals(self.admin_requests.clone()));
+        spawn_local(forward_signals(
+            self.signals.clone(),
+            self.admin_requests.clone(),
+        ));
         let mut control = Control::new(self.me.clone(), self.settings.zone.clone());
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -3,11 +3,13 @@
 //! Handlers are installed before anything else: the system's default action for most
 //! signals ends the process and breaks off its open responses.
 
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::error::{Error, Result};
@@ -19,6 +21,10 @@
 /// What a process does on a signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
+    /// Stops gracefully.
+    Stop,
+    /// Exits at once with code 0, because it does not serve yet.
+    Exit,
     /// Nothing.
     Ignore,
 }
@@ -27,6 +33,8 @@
     /// The action's name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Stop => "stop",
+            Self::Exit => "exit",
             Self::Ignore => "ignore",
         }
     }
@@ -35,40 +43,94 @@
 /// Receives the name of each signal that arrived, and what the process does on it.
 pub type Report = fn(&str, Action);
 
-/// Installs the handlers of a daemon. They run on a thread of their own until the process
-/// ends.
-pub fn install(report: Report) -> Result<()> {
-    let io_error = |e| Error::io("installing signal handlers", e);
-    let runtime = Builder::new_current_thread().enable_all().build();
-    let runtime: Runtime = runtime.map_err(io_error)?;
-    let guard = runtime.enter();
-    let hangup = signal(SignalKind::hangup()).map_err(io_error)?;
-    drop(guard);
-    let watches = [watch("SIGHUP", hangup, report)];
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || runtime.block_on(join_all(watches)))
-        .map_err(io_error)?;
-    Ok(())
+/// The signals that a process handles besides SIGHUP, with what it does on them.
+const HANDLED: [(&str, SignalKind, Action); 2] = [
+    ("SIGINT", SignalKind::interrupt(), Action::Stop),
+    ("SIGTERM", SignalKind::terminate(), Action::Stop),
+];
+
+/// The signals that have arrived at this process.
+#[derive(Clone)]
+pub struct Signals {
+    state: Arc<State>,
+}
+
+struct State {
+    report: Report,
+    is_stopping: watch::Sender<bool>,
+    /// Whether a stop signal is left to the code that serves. Held while acting on a
+    /// stop signal, so that none arrives between an exit and the start of service.
+    is_serving: Mutex<bool>,
 }
 
-async fn watch(name: &'static str, mut arrivals: Signal, report: Report) {
-    while arrivals.recv().await.is_some() {
-        report(name, Action::Ignore);
-        sleep(REPEAT_INTERVAL).await;
+impl Signals {
+    /// Installs the handlers. They run on a thread of their own until the process ends.
+    /// Until [`Signals::begin_service`], a stop signal ends the process at once.
+    ///
+    /// On SIGHUP, daemons and programs that a terminal runs differ.
+    pub fn install(on_hangup: Action, report: Report) -> Result<Self> {
+        let io_error = |e| Error::io("installing signal handlers", e);
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime: Runtime = runtime.map_err(io_error)?;
+        let state = Arc::new(State {
+            report,
+            is_stopping: watch::Sender::new(false),
+            is_serving: Mutex::new(false),
+        });
+        let guard = runtime.enter();
+        let hangup = ("SIGHUP", SignalKind::hangup(), on_hangup);
+        let mut watches = Vec::with_capacity(HANDLED.len() + 1);
+        for (name, kind, action) in HANDLED.into_iter().chain([hangup]) {
+            let arrivals = signal(kind).map_err(io_error)?;
+            watches.push(state.clone().watch(name, arrivals, action));
+        }
+        drop(guard);
+        std::thread::Builder::new()
+            .name("signals".to_owned())
+            .spawn(move || runtime.block_on(join_all(watches)))
+            .map_err(io_error)?;
+        Ok(Self { state })
+    }
+
+    /// Leaves stop signals to the caller, who waits for them with [`Signals::stopped`].
+    pub fn begin_service(&self) {
+        *self.state.is_serving() = true;
+    }
+
+    /// Waits for a stop signal; returns at once if one has arrived.
+    pub async fn stopped(&self) {
+        let mut is_stopping = self.state.is_stopping.subscribe();
+        // Fails only if the sender is gone, and `self` holds it.
+        let _ = is_stopping.wait_for(|is_stopping| *is_stopping).await;
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn wait_for_stop() {
-    let (Ok(mut term), Ok(mut int)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+impl State {
+    async fn watch(self: Arc<Self>, name: &'static str, mut arrivals: Signal, action: Action) {
+        while arrivals.recv().await.is_some() {
+            match action {
+                Action::Stop => self.stop(name),
+                _ => (self.report)(name, action),
+            }
+            sleep(REPEAT_INTERVAL).await;
+        }
+    }
+
+    fn stop(&self, name: &str) {
+        let is_serving = self.is_serving();
+        if !*is_serving {
+            (self.report)(name, Action::Exit);
+            std::process::exit(0);
+        }
+        let action = match self.is_stopping.send_replace(true) {
+            false => Action::Stop,
+            true => Action::Ignore,
+        };
+        (self.report)(name, action);
+    }
+
+    fn is_serving(&self) -> MutexGuard<'_, bool> {
+        let held = self.is_serving.lock();
+        held.unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/standins/src/bin/rattanstall-quickstart/main.rs
+++ b/standins/src/bin/rattanstall-quickstart/main.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use rattanstall::config::Document;
+use rattanstall::signals::{Action, Signals};
 use rattanstall_standins::caller::{Caller, RequestOptions, chat};
 use rattanstall_standins::fleet::{Fleet, FleetBuilder};
 use serde_json::json;
@@ -12,18 +13,29 @@
 const CONFIGURATION_FILE: &str = "examples/ostekaelderen.toml";
 
 fn main() -> Result<(), Box<dyn Error>> {
+    let signals = Signals::install(Action::Stop, |_, _| {})?;
     let keep_running = std::env::args().skip(1).any(|arg| arg == "--keep");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    // From here on, a signal must not leave the processes of the fleet behind.
+    signals.begin_service();
     let fleet = FleetBuilder::default().start()?;
-    runtime.block_on(send_requests(&fleet))?;
-    if keep_running {
+    let is_stopped = runtime.block_on(async {
+        tokio::select! {
+            sent = send_requests(&fleet) => sent.map(|()| false),
+            () = signals.stopped() => Ok(true),
+        }
+    })?;
+    if keep_running && !is_stopped {
         print_addresses(&fleet);
-        runtime.block_on(rattanstall::signals::wait_for_stop());
+        runtime.block_on(signals.stopped());
     }
     fleet.stop()?;
-    println!("quickstart: ok");
+    match is_stopped {
+        true => println!("quickstart: stopped"),
+        false => println!("quickstart: ok"),
+    }
     Ok(())
 }
 
--- a/standins/src/bin/standin-endpoint/main.rs
+++ b/standins/src/bin/standin-endpoint/main.rs
@@ -6,6 +6,7 @@
 use rattanstall_standins::options::{parse, required, value};
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
+    rattanstall_standins::exit_on_stop()?;
     let options = [
         ("listen", "address to listen on"),
         ("version", "software version, part of every event"),
--- a/standins/src/bin/standin-engine/main.rs
+++ b/standins/src/bin/standin-engine/main.rs
@@ -7,6 +7,7 @@
 use rattanstall_standins::options::{parse, required, value};
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
+    rattanstall_standins::exit_on_stop()?;
     let options = [
         ("listen", "address to listen on"),
         ("memory-bytes", "memory in bytes (default 1000)"),
@@ -38,6 +39,6 @@
         step_us: value(&args, "step-us", 2_000),
         batch_us: value(&args, "batch-us", 50),
     };
-    rattanstall_standins::run_until_stopped(listen, Arc::new(EngineStandIn::new(setup)))?;
+    rattanstall_standins::run(listen, Arc::new(EngineStandIn::new(setup)))?;
     Ok(())
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,18 +17,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rattanstall::error::Result;
 use rattanstall::http::{Respond, serve};
+use rattanstall::signals::{Action, Signals};
 
-/// Serves until SIGTERM or SIGINT, then exits at once.
-pub fn run_until_stopped<S: Respond>(
-    listen: SocketAddr,
-    service: Arc<S>,
-) -> rattanstall::error::Result<()> {
+/// Makes SIGTERM, SIGINT and SIGHUP end the program at once with code 0. To be called
+/// first in `main`.
+pub fn exit_on_stop() -> Result<()> {
+    Signals::install(Action::Stop, |_, _| {}).map(drop)
+}
+
+/// Serves until the program ends.
+pub fn run<S: Respond>(listen: SocketAddr, service: Arc<S>) -> Result<()> {
     let _server = serve(listen, 1, service)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| rattanstall::error::Error::io("starting the runtime", e))?;
-    runtime.block_on(rattanstall::signals::wait_for_stop());
-    std::process::exit(0);
+    loop {
+        std::thread::park();
+    }
 }
--- a/standins/tests/signals.rs
+++ b/standins/tests/signals.rs
@@ -1,13 +1,14 @@
 //! Sends signals to gateways and agents and checks that open responses are complete.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
 use std::time::Duration;
 
 use http::StatusCode;
 use rattanstall::config::Document;
 use rattanstall_standins::caller::{Caller, RequestOptions, chat};
-use rattanstall_standins::fleet::{Fleet, FleetBuilder};
-use rustix::process::Signal;
+use rattanstall_standins::fleet::{Fleet, FleetBuilder, loopback_address, program_dir};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
 /// Duration of a call to the service, in milliseconds.
@@ -60,3 +61,76 @@
     }
     fleet.stop().expect("all processes exit with code 0");
 }
+
+/// A program that runs alone.
+struct Program {
+    name: &'static str,
+    process: Child,
+}
+
+impl Program {
+    /// Starts a program of the build and waits until it blocks on its files or serves.
+    fn start(name: &'static str, args: &[&str]) -> Self {
+        let program = program_dir().expect("a directory").join(name);
+        let process = Command::new(program).args(args).spawn();
+        let process = process.expect("the program starts");
+        std::thread::sleep(Duration::from_millis(300));
+        Self { name, process }
+    }
+
+    /// Sends a signal and returns how the process has ended some time later, if it has.
+    fn signal(&mut self, signal: Signal) -> Option<ExitStatus> {
+        kill_process(Pid::from_child(&self.process), signal).expect("a living process");
+        std::thread::sleep(Duration::from_millis(300));
+        self.process.try_wait().expect("a child process")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// A file that nobody writes, so that reading it blocks.
+fn blocking_file(name: &str) -> PathBuf {
+    let id = std::process::id();
+    let file = std::env::temp_dir().join(format!("rattanstall-{name}-{id}"));
+    let made = Command::new("mkfifo").arg(&file).status();
+    assert!(made.expect("mkfifo runs").success());
+    file
+}
+
+// Guards against a stop signal ending a program by the system's default action before the
+// program has read its files, and against a stand-in that outlives its terminal.
+#[test]
+fn stop_signals_end_a_starting_program_in_order() {
+    let file = blocking_file("starting");
+    let path = file.to_str().expect("a printable path");
+    let listen = format!("{}:0", loopback_address(std::process::id()));
+    let setup = ["--listen", &listen, "--setup", path];
+    let programs: [(&str, &[&str], bool); 5] = [
+        ("rattanstall-gateway", &["--settings", path], true),
+        ("rattanstall-agent", &["--settings", path], true),
+        ("standin-platform", &setup, false),
+        ("standin-endpoint", &setup[..2], false),
+        ("standin-service", &setup[..2], false),
+    ];
+    std::thread::scope(|scope| {
+        for (name, args, is_daemon) in programs {
+            for signal in [Signal::TERM, Signal::INT, Signal::HUP] {
+                scope.spawn(move || {
+                    let mut program = Program::start(name, args);
+                    let ended = program.signal(signal).map(|status| status.code());
+                    let expected = match is_daemon && signal == Signal::HUP {
+                        true => None,
+                        false => Some(Some(0)),
+                    };
+                    assert_eq!(ended, expected, "{signal:?} at {}", program.name);
+                });
+            }
+        }
+    });
+    let _ = std::fs::remove_file(file);
+}
