Signals without a meaning to a daemon no longer end it

Cause: the default action of the system for SIGUSR1, SIGUSR2, SIGALRM and others ends a process at once, as SIGHUP did.

Change: SIGQUIT stops a process like SIGTERM; SIGUSR1, SIGUSR2, SIGALRM, SIGIO, SIGSTKFLT, SIGXCPU, SIGXFSZ, SIGVTALRM, SIGPROF and SIGPWR are logged and ignored. SIGPIPE already was. Left alone: SIGABRT and the signals of a fault, which must end a process, and real-time signals, which belong to the libraries that use them.

--- a/src/signals.rs
+++ b/src/signals.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use rustix::process::Signal;
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{Signal as Arrivals, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -44,11 +45,30 @@
 pub type Report = fn(&str, Action);
 
 /// The signals that a process handles besides SIGHUP, with what it does on them.
-const HANDLED: [(&str, SignalKind, Action); 2] = [
+///
+/// Not among them: SIGPIPE, which the standard library ignores; SIGABRT and those that
+/// report a fault of the process, which must end it; and real-time signals, which belong
+/// to the libraries that use them.
+const HANDLED: [(&str, SignalKind, Action); 13] = [
     ("SIGINT", SignalKind::interrupt(), Action::Stop),
+    ("SIGQUIT", SignalKind::quit(), Action::Stop),
     ("SIGTERM", SignalKind::terminate(), Action::Stop),
+    ("SIGUSR1", SignalKind::user_defined1(), Action::Ignore),
+    ("SIGUSR2", SignalKind::user_defined2(), Action::Ignore),
+    ("SIGALRM", SignalKind::alarm(), Action::Ignore),
+    ("SIGIO", SignalKind::io(), Action::Ignore),
+    ("SIGSTKFLT", kind(Signal::STKFLT), Action::Ignore),
+    ("SIGXCPU", kind(Signal::XCPU), Action::Ignore),
+    ("SIGXFSZ", kind(Signal::XFSZ), Action::Ignore),
+    ("SIGVTALRM", kind(Signal::VTALARM), Action::Ignore),
+    ("SIGPROF", kind(Signal::PROF), Action::Ignore),
+    ("SIGPWR", kind(Signal::POWER), Action::Ignore),
 ];
 
+const fn kind(signal: Signal) -> SignalKind {
+    SignalKind::from_raw(signal.as_raw())
+}
+
 /// The signals that have arrived at this process.
 #[derive(Clone)]
 pub struct Signals {
@@ -106,7 +126,7 @@
 }
 
 impl State {
-    async fn watch(self: Arc<Self>, name: &'static str, mut arrivals: Signal, action: Action) {
+    async fn watch(self: Arc<Self>, name: &'static str, mut arrivals: Arrivals, action: Action) {
         while arrivals.recv().await.is_some() {
             match action {
                 Action::Stop => self.stop(name),
--- a/standins/tests/signals.rs
+++ b/standins/tests/signals.rs
@@ -30,9 +30,9 @@
     (fleet, key)
 }
 
-// Guards against SIGHUP ending a gateway or an agent, which cuts all of their open responses.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn sighup_of_gateways_and_agents_cuts_no_response() {
+/// Sends signals to all gateways and agents while a stream and two calls are open, which
+/// must end complete.
+async fn check_that_responses_are_complete(signals: &[Signal]) {
     let (fleet, key) = start().await;
     let caller = Caller::new(fleet.gateways[0].listen);
     let options = RequestOptions {
@@ -46,9 +46,11 @@
     let body = json!({ "wheel": "Danbo" });
     let lookup = caller.post("/stock/danbo", &options, &body);
     let signals = async {
-        tokio::time::sleep(Duration::from_millis(500)).await;
-        for process in fleet.gateways.iter().chain(&fleet.agents) {
-            process.signal(Signal::HUP);
+        for signal in signals {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            for process in fleet.gateways.iter().chain(&fleet.agents) {
+                process.signal(*signal);
+            }
         }
     };
     let (stream, order, lookup, ()) = tokio::join!(stream, order, lookup, signals);
@@ -62,6 +64,27 @@
     fleet.stop().expect("all processes exit with code 0");
 }
 
+// Guards against SIGHUP ending a gateway or an agent, which cuts all of their open responses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sighup_of_gateways_and_agents_cuts_no_response() {
+    check_that_responses_are_complete(&[Signal::HUP]).await;
+}
+
+// Guards against other signals that end a gateway or an agent at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn other_signals_of_gateways_and_agents_cut_no_response() {
+    let signals = [Signal::USR1, Signal::USR2, Signal::ALARM, Signal::PIPE];
+    check_that_responses_are_complete(&signals).await;
+}
+
+// Guards against a second stop signal, or one that is not SIGTERM, ending a gateway or an
+// agent at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_signals_of_gateways_and_agents_cut_no_response() {
+    let signals = [Signal::QUIT, Signal::HUP, Signal::TERM, Signal::INT];
+    check_that_responses_are_complete(&signals).await;
+}
+
 /// A program that runs alone.
 struct Program {
     name: &'static str,
