--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -10,6 +10,7 @@
 
 use super::caller_stream::ConnectionEnd;
 use super::connection::Connection;
+use super::crash_watch::{Verdict, WatchedRun};
 use super::fleet::InFlight;
 use super::framing::{BodyProgress, Framing};
 use super::job::Job;
@@ -135,6 +136,8 @@
     pub is_reusable: bool,
     /// What has been received.
     pub progress: BodyProgress,
+    /// Evidence on the parts of the prompt; `None` if it has none.
+    pub run: Option<WatchedRun>,
 }
 
 impl UpstreamBody {
@@ -147,6 +150,9 @@
                     // Trailers are dropped: they hold nothing that callers need.
                     if let Ok(data) = frame.into_data() {
                         self.progress.push(&data);
+                        if let Some(run) = &mut self.run {
+                            run.record_body(&self.progress);
+                        }
                         return Some(Ok(data));
                     }
                 }
@@ -155,6 +161,18 @@
         }
     }
 
+    /// Records that the body broke off at the endpoint. If a part of the prompt may be
+    /// the cause, returns whether the endpoint has ended.
+    pub fn record_break(&self) -> Option<Verdict> {
+        self.run.as_ref()?.record_break()
+    }
+
+    /// Records that the body ended without an error, and returns the same if it may
+    /// have broken off.
+    pub fn record_end(&mut self) -> Option<Verdict> {
+        self.run.as_mut()?.record_end(&self.progress)
+    }
+
     /// Logs how the body ended: with an error, or without one at its end.
     pub fn log_end(&self, job: &Job, error: &str) {
         job.log(
@@ -170,7 +188,8 @@
 
     /// Records the success after a complete response and returns the connection
     /// to the pool.
-    pub fn finish(self, now: Millis) {
+    pub fn finish(mut self, now: Millis) {
+        self.record_end();
         let Self {
             connection,
             in_flight,
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -55,7 +55,11 @@
         | Event::StoreLost
         | Event::StoreAnswered
         | Event::EndpointCrashed(_)
-        | Event::PartsProgressed(_) => Lane::Endpoints,
+        | Event::PartsProgressed(_)
+        | Event::PartsChecked(_)
+        | Event::BlocksRecorded { .. }
+        | Event::RecordFailed => Lane::Endpoints,
+        Event::Datagram(datagram) if datagram.message.is_about_parts() => Lane::Endpoints,
         Event::Tick(_)
         | Event::Usage(_)
         | Event::Datagram(_)
