A full pipe at standard output no longer keeps a process from stopping

Cause: a stopping rattanstall-front writes its last log lines on the main thread, which waits for ever if nobody reads the pipe; the platform kills the process after the grace period.

Change: the last lines get 200 ms. They are also written when the process ends with an error or by a stop signal before it serves, where they were lost.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -95,6 +95,17 @@
     signals: &Signals,
 ) -> Result<()> {
     signals.begin_service();
+    let ended = run_until_stopped(settings, dialect, max_descriptors, signals);
+    journal::flush_at_end();
+    ended
+}
+
+fn run_until_stopped(
+    settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    max_descriptors: u32,
+    signals: &Signals,
+) -> Result<()> {
     let _log = logs::start_in_journal()?;
     journal::write(
         "process.started",
@@ -143,7 +154,6 @@
     internal.stop();
     readiness.stop();
     journal::write("process.stopped", &[]);
-    journal::flush();
     Ok(())
 }
 
--- a/src/direct/reload.rs
+++ b/src/direct/reload.rs
@@ -12,4 +12,7 @@
             ("action", action.as_str().into()),
         ],
     );
+    if action == Action::Exit {
+        journal::flush_at_end();
+    }
 }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -6,8 +6,8 @@
 
 use std::fmt::Write as _;
 use std::io::Write as _;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, mpsc};
 use std::time::Duration;
 
 use crate::clock::unix_now;
@@ -17,6 +17,8 @@
 const BUFFER_BYTES: usize = 256 << 10;
 /// Time between two writes. A killed process loses the lines since the last one.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a process that ends waits for its last lines to be written.
+const LAST_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Request lines that are logged per second. Above this bound, new requests are not
 /// logged at all: one line costs about as much as forwarding two events of a
 /// response stream.
@@ -128,6 +130,20 @@
     let _ = std::io::stdout().flush();
 }
 
+/// Writes the buffered lines before the process ends. Gives up after
+/// `LAST_FLUSH_TIMEOUT`, so that an output that nobody reads does not keep the process.
+pub fn flush_at_end() {
+    let (done, is_done) = mpsc::channel();
+    let write = move || {
+        flush();
+        // Fails if the receiver has given up.
+        let _ = done.send(());
+    };
+    if std::thread::Builder::new().spawn(write).is_ok() {
+        let _ = is_done.recv_timeout(LAST_FLUSH_TIMEOUT);
+    }
+}
+
 /// Appends one line with the event's name and its fields to the buffer.
 pub fn write(event: &str, fields: &[(&str, Value<'_>)]) {
     let mut line = String::with_capacity(128);
