rattanstall-front reads its settings again when they change

Cause: the settings file was read at start only, but the platform changes it while processes run, with SIGHUP or without.

Change: a thread of its own reads the file on SIGHUP and when its attributes (inode, size, times) have changed, checked once a second without inotify. Bounds and the limit on descriptors apply to later requests; a request in progress keeps what it was admitted with. Settings that are missing, half written or not valid change nothing: settings.rejected names key and reason once for each content, and a counter counts them. Version and hash of the settings in force are in /state and /metrics.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -70,7 +70,7 @@
 use internal::InternalServer;
 use queue::event_queue;
 use readiness::Readiness;
-use settings::Settings;
+use reload::Reloader;
 use shared::Shared;
 
 /// How long a stopping gateway keeps accepting connections. The load balancer
@@ -88,24 +88,19 @@
 
 /// Runs a gateway until a stop signal arrives and its open requests have ended or the
 /// grace period is nearly over.
-pub fn run(
-    settings: Settings,
-    dialect: Arc<dyn Dialect>,
-    max_descriptors: u32,
-    signals: &Signals,
-) -> Result<()> {
+pub fn run(reloader: Reloader, dialect: Arc<dyn Dialect>, signals: &Signals) -> Result<()> {
     signals.begin_service();
-    let ended = run_until_stopped(settings, dialect, max_descriptors, signals);
+    let ended = run_until_stopped(reloader, dialect, signals);
     journal::flush_at_end();
     ended
 }
 
 fn run_until_stopped(
-    settings: Settings,
+    reloader: Reloader,
     dialect: Arc<dyn Dialect>,
-    max_descriptors: u32,
     signals: &Signals,
 ) -> Result<()> {
+    let settings = reloader.settings().gateway.clone();
     let _log = logs::start_in_journal()?;
     journal::write(
         "process.started",
@@ -122,10 +117,12 @@
     let shared = Arc::new(Shared::new(
         clock,
         settings,
+        reloader.live(),
         dialect,
         metrics,
         events.clone(),
     ));
+    reload::start_thread(reloader, shared.clone(), signals.clone())?;
     let control = shared.clone();
     std::thread::Builder::new()
         .name("control".to_owned())
@@ -146,7 +143,7 @@
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
-    let traffic = serve_callers(shared, listener, max_descriptors, signals);
+    let traffic = serve_callers(shared, listener, signals);
     LocalSet::new().block_on(&runtime, traffic)?;
     if let Some(exporter) = exporter {
         exporter.stop();
@@ -181,12 +178,11 @@
 async fn serve_callers(
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
-    max_descriptors: u32,
     signals: &Signals,
 ) -> Result<()> {
     let listener =
         TcpListener::from_std(listener).map_err(|e| Error::io("accepting callers", e))?;
-    let front = Front::new(shared.clone(), max_descriptors);
+    let front = Front::new(shared.clone());
     spawn_local(publish_load(shared.clone(), front.clone()));
     let accepting = spawn_local(front.accept(listener));
     signals.stopped().await;
@@ -217,7 +213,7 @@
         &[("open", shared.open_requests().into())],
     );
     sleep(DRAIN_ANNOUNCE_TIME.as_duration()).await;
-    let latest = shared.settings.bounds.grace - GRACE_MARGIN;
+    let latest = shared.bounds().grace - GRACE_MARGIN;
     while shared.open_requests() > 0 && shared.now().since(since) < latest {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -20,7 +20,7 @@
 use super::members::Members;
 use super::rates::Rates;
 use super::registry::Registry;
-use super::settings::Settings;
+use super::settings::{Bounds, Settings};
 use super::shares::Shares;
 use super::streams::VersionHistory;
 use super::view::{EndpointView, LoadTable, View};
@@ -97,11 +97,7 @@
 impl Control {
     /// Creates the state of a newly started gateway.
     pub fn new(settings: Arc<Settings>) -> Self {
-        let bounds = &settings.bounds;
-        let grace = GracePeriods {
-            drain: bounds.drain,
-            relist: bounds.relist,
-        };
+        let grace = grace_periods(&settings.bounds);
         Self {
             document: None,
             directory: Directory::new(grace),
@@ -240,11 +236,20 @@
                 self.resign("draining");
                 out.push(Effect::ResignLeadership);
             }
+            Event::Bounds(bounds) => self.set_bounds(bounds),
             Event::Stop => out.push(Effect::EndLease),
         }
         out
     }
 
+    fn set_bounds(&mut self, bounds: Bounds) {
+        self.directory.set_grace(grace_periods(&bounds));
+        if let Some(leader) = &mut self.leader {
+            leader.set_load_window(bounds.load_window);
+        }
+        Arc::make_mut(&mut self.settings).bounds = bounds;
+    }
+
     fn tick(&mut self, now: Millis, loads: LoadTable, out: &mut Vec<Effect>) {
         self.own_loads = loads;
         let gone = self.directory.expire(now);
@@ -416,3 +421,10 @@
         }
     }
 }
+
+fn grace_periods(bounds: &Bounds) -> GracePeriods {
+    GracePeriods {
+        drain: bounds.drain,
+        relist: bounds.relist,
+    }
+}
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -14,6 +14,7 @@
 use crate::direct::gossip::{Datagram, Message};
 use crate::direct::ledger::EngineCall;
 use crate::direct::members::Member;
+use crate::direct::settings::Bounds;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
 use crate::direct::view::LoadTable;
@@ -118,6 +119,8 @@
     HoldingsReady(Holdings),
     /// The leader decides on placement now.
     Decide,
+    /// The operator changed the bounds.
+    Bounds(Bounds),
     /// The process is asked to shut down and finishes its requests first.
     Drain,
     /// The process is about to exit.
@@ -147,6 +150,7 @@
             Self::Reported { .. } => "reported",
             Self::HoldingsReady(_) => "holdings_ready",
             Self::Decide => "decide",
+            Self::Bounds(_) => "settings",
             Self::Drain | Self::Stop => "stop",
         }
     }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Replaces the grace periods, also of endpoints that are leaving.
+    pub fn set_grace(&mut self, grace: GracePeriods) {
+        self.grace = grace;
+    }
+
     /// Whether no endpoint is known.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -181,12 +181,14 @@
 
     fn with_budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
+        let limit = self.shared.bounds().retries;
         let at = budgets.binary_search_by(|(name, _)| name.as_str().cmp(service));
         let at = at.unwrap_or_else(|at| {
-            let budget = RetryBudget::new(self.shared.settings.bounds.retries);
+            let budget = RetryBudget::new(limit);
             budgets.insert(at, (service.into(), budget));
             at
         });
+        budgets[at].1.set_limit(limit);
         work(&mut budgets[at].1)
     }
 
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -53,19 +53,19 @@
 pub struct Front {
     shared: Arc<Shared>,
     forwarder: Rc<Forwarder>,
-    max_connections: u32,
 }
 
 impl Front {
-    /// Creates a front that accepts as many connections as the limit on file
-    /// descriptors allows.
-    pub fn new(shared: Arc<Shared>, max_descriptors: u32) -> Rc<Self> {
+    /// Creates a front.
+    pub fn new(shared: Arc<Shared>) -> Rc<Self> {
         let forwarder = Forwarder::new(shared.clone());
-        Rc::new(Self {
-            shared,
-            forwarder,
-            max_connections: max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64),
-        })
+        Rc::new(Self { shared, forwarder })
+    }
+
+    /// The number of connections that the limit on file descriptors allows.
+    fn max_connections(&self) -> u32 {
+        let descriptors = self.shared.live_settings().max_descriptors;
+        descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64)
     }
 
     /// The forwarder that sends admitted requests to endpoints.
@@ -79,7 +79,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let open = self.shared.connections().fetch_add(1, Ordering::Relaxed);
-                    if open >= self.max_connections {
+                    if open >= self.max_connections() {
                         self.shared.connections().fetch_sub(1, Ordering::Relaxed);
                         log::warn!(
                             "connection limit reached ({open} open), closing a new connection"
--- a/src/direct/internal.rs
+++ b/src/direct/internal.rs
@@ -104,7 +104,9 @@
             .iter()
             .map(|b| json!({ "workspace": b.workspace, "ppm": b.with(|b| b.share_ppm()) }))
             .collect();
+        let settings = self.shared.live_settings();
         json!({
+            "settings": { "version": settings.version, "hash": settings.hash },
             "name": self.shared.settings.name,
             "zone": self.shared.settings.zone,
             "up_ms": now,
--- a/src/direct/leader.rs
+++ b/src/direct/leader.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Replaces the window over which loads are limited.
+    pub fn set_load_window(&mut self, window: Millis) {
+        self.load_window = window;
+    }
+
     /// The term of this leader.
     pub fn term(&self) -> LeaderTerm {
         self.term
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -44,6 +44,7 @@
         | Event::LeadershipClaimed { .. }
         | Event::LeaseHeld(_)
         | Event::LeaseLost
+        | Event::Bounds(_)
         | Event::Drain
         | Event::Stop => Lane::Fleet,
         // Whether the store answers decides how a removed registration is understood, so
--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -81,7 +81,7 @@
         return Ok(charge);
     };
     let max_debt = match workspace.counts_tokens {
-        true => shared.settings.bounds.limit_slack / DEBT_DIVISOR / shared.gateway_count() as u64,
+        true => shared.bounds().limit_slack / DEBT_DIVISOR / shared.gateway_count() as u64,
         // The slack is configured in tokens, so it does not apply to limits that
         // count requests.
         false => 0,
--- a/src/direct/retry_budget.rs
+++ b/src/direct/retry_budget.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Replaces the limit; attempts and retries stay counted.
+    pub fn set_limit(&mut self, limit: RetryLimit) {
+        self.limit = limit;
+    }
+
     /// Records the first attempt of a request.
     pub fn record_first_attempt(&mut self, now: Millis) {
         self.remove_expired(now);
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -25,10 +25,20 @@
     pub metrics: Option<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
-    /// Bounds that the operator sets.
+    /// Bounds that the operator sets. Those of a running process may differ; see
+    /// [`LiveSettings`](super::reload::LiveSettings).
     pub bounds: Bounds,
 }
 
+/// The content of a settings file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProcessSettings {
+    /// The gateway's settings.
+    pub gateway: Settings,
+    /// The maximum number of file descriptors that the process may open.
+    pub max_descriptors: u32,
+}
+
 /// Bounds that the operator sets for the system's behaviour.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -11,8 +11,9 @@
 use super::control::Event;
 use super::dialect::Dialect;
 use super::queue::EventSender;
+use super::reload::LiveSettings;
 use super::request::ModelRef;
-use super::settings::Settings;
+use super::settings::{Bounds, Settings};
 use super::streams::Streams;
 use super::view::{LoadTable, View};
 use crate::bucket::BucketCell;
@@ -40,7 +41,7 @@
 pub struct Shared {
     /// The process's clock.
     pub clock: Clock,
-    /// The process's settings.
+    /// The settings with which the process started.
     pub settings: Arc<Settings>,
     /// The platform's names and formats.
     pub dialect: Arc<dyn Dialect>,
@@ -48,6 +49,7 @@
     pub metrics: Arc<Metrics>,
     /// Which software version began a stream.
     pub streams: Streams,
+    live_settings: ArcSwap<LiveSettings>,
     view: ArcSwap<View>,
     generation: watch::Sender<u64>,
     buckets: ArcSwap<Vec<Arc<BucketCell>>>,
@@ -69,16 +71,19 @@
     pub fn new(
         clock: Clock,
         settings: Arc<Settings>,
+        live_settings: LiveSettings,
         dialect: Arc<dyn Dialect>,
         metrics: Arc<Metrics>,
         events: EventSender,
     ) -> Self {
+        metrics.set_settings_version(live_settings.version, live_settings.hash);
         Self {
             clock,
             settings,
             dialect,
             metrics,
             streams: Streams::default(),
+            live_settings: ArcSwap::from_pointee(live_settings),
             view: ArcSwap::default(),
             generation: watch::Sender::new(0),
             buckets: ArcSwap::default(),
@@ -101,6 +106,22 @@
         self.clock.now()
     }
 
+    /// The settings that a running process applies.
+    pub fn live_settings(&self) -> LiveSettings {
+        **self.live_settings.load()
+    }
+
+    /// The bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.live_settings().bounds
+    }
+
+    /// Puts settings in force.
+    pub fn set_live_settings(&self, live: LiveSettings) {
+        self.live_settings.store(Arc::new(live));
+        self.metrics.set_settings_version(live.version, live.hash);
+    }
+
     /// The view that the control thread published last.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,7 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
@@ -23,6 +23,9 @@
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
     control_wait: Histogram<f64>,
+    settings_version: Gauge<u64>,
+    settings_hash: Gauge<u64>,
+    rejected_settings: Counter<u64>,
 }
 
 impl Metrics {
@@ -67,6 +70,18 @@
                 "rattanstall.control.wait",
                 "Time that an event waits for the control thread",
             ),
+            settings_version: meter
+                .u64_gauge("rattanstall.settings.version")
+                .with_description("Number of settings files taken since the start")
+                .build(),
+            settings_hash: meter
+                .u64_gauge("rattanstall.settings.hash")
+                .with_description("Hash of the settings file in force")
+                .build(),
+            rejected_settings: meter
+                .u64_counter("rattanstall.settings.rejected")
+                .with_description("Settings files that were not valid")
+                .build(),
             registry,
             provider,
         })
@@ -112,6 +127,17 @@
         self.control_wait.record(secs(waited), &[]);
     }
 
+    /// Records the settings in force.
+    pub fn set_settings_version(&self, version: u64, hash: u32) {
+        self.settings_version.record(version, &[]);
+        self.settings_hash.record(hash.into(), &[]);
+    }
+
+    /// Counts a settings file that was not valid.
+    pub fn count_rejected_settings(&self) {
+        self.rejected_settings.add(1, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -3,7 +3,7 @@
 //! Handlers are installed before anything else: the system's default action for most
 //! signals ends the process and breaks off its open responses.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -26,6 +26,8 @@
     Stop,
     /// Exits at once with code 0, because it does not serve yet.
     Exit,
+    /// Reads the settings file again.
+    Reload,
     /// Nothing.
     Ignore,
 }
@@ -36,6 +38,7 @@
         match self {
             Self::Stop => "stop",
             Self::Exit => "exit",
+            Self::Reload => "reload",
             Self::Ignore => "ignore",
         }
     }
@@ -81,6 +84,8 @@
     /// Whether a stop signal is left to the code that serves. Held while acting on a
     /// stop signal, so that none arrives between an exit and the start of service.
     is_serving: Mutex<bool>,
+    is_reload_due: Mutex<bool>,
+    reload_requested: Condvar,
 }
 
 impl Signals {
@@ -96,6 +101,8 @@
             report,
             is_stopping: watch::Sender::new(false),
             is_serving: Mutex::new(false),
+            is_reload_due: Mutex::new(false),
+            reload_requested: Condvar::new(),
         });
         let guard = runtime.enter();
         let hangup = ("SIGHUP", SignalKind::hangup(), on_hangup);
@@ -114,7 +121,20 @@
 
     /// Leaves stop signals to the caller, who waits for them with [`Signals::stopped`].
     pub fn begin_service(&self) {
-        *self.state.is_serving() = true;
+        *lock(&self.state.is_serving) = true;
+    }
+
+    /// Waits for a reload signal, at most for `timeout`. Returns whether one arrived since
+    /// the last call.
+    pub fn wait_for_reload(&self, timeout: Duration) -> bool {
+        let state = &self.state;
+        let waited = state.reload_requested.wait_timeout_while(
+            lock(&state.is_reload_due),
+            timeout,
+            |is_due| !*is_due,
+        );
+        let (mut is_due, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *is_due)
     }
 
     /// Waits for a stop signal; returns at once if one has arrived.
@@ -130,14 +150,15 @@
         while arrivals.recv().await.is_some() {
             match action {
                 Action::Stop => self.stop(name),
-                _ => (self.report)(name, action),
+                Action::Reload => self.reload(name),
+                Action::Exit | Action::Ignore => (self.report)(name, action),
             }
             sleep(REPEAT_INTERVAL).await;
         }
     }
 
     fn stop(&self, name: &str) {
-        let is_serving = self.is_serving();
+        let is_serving = lock(&self.is_serving);
         if !*is_serving {
             (self.report)(name, Action::Exit);
             std::process::exit(0);
@@ -149,8 +170,13 @@
         (self.report)(name, action);
     }
 
-    fn is_serving(&self) -> MutexGuard<'_, bool> {
-        let held = self.is_serving.lock();
-        held.unwrap_or_else(PoisonError::into_inner)
+    fn reload(&self, name: &str) {
+        (self.report)(name, Action::Reload);
+        *lock(&self.is_reload_due) = true;
+        self.reload_requested.notify_all();
     }
 }
+
+fn lock(mutex: &Mutex<bool>) -> MutexGuard<'_, bool> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
