A panic no longer leaves a process that only looks alive

Cause: a panic ends one task or thread, and nobody waited for the end of those that run as long as the process: the followers of the store, the lease, the datagrams of other gateways, ticks, load, the accept loop and the control thread. The gateway went on, passed its readiness check, and kept an old list of endpoints or an old configuration.

Change: a follower is started again after 500 ms, with a full read. The panic of any other part (process.failed) stops the process in order, with its open responses complete and exit code 1, so that the platform starts it again. All panics are logged with their place (process.panicked). Ruled out: stopping for a follower too, since one value in the store that makes it panic would then end all gateways again and again.

Not tested: a panic of the reducer itself, which has the same guard.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -46,6 +46,7 @@
 pub mod shares;
 pub mod store;
 pub mod streams;
+mod supervision;
 pub mod sync;
 pub mod view;
 pub mod workload;
@@ -55,7 +56,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 use tokio::time::sleep;
 
 use crate::clock::{Clock, Millis};
@@ -72,6 +73,7 @@
 use readiness::Readiness;
 use reload::Reloader;
 use shared::Shared;
+use supervision::Supervisor;
 
 /// How long a stopping gateway keeps accepting connections. The load balancer
 /// checks readiness every second and removes a process after two failed checks.
@@ -123,10 +125,14 @@
         events.clone(),
     ));
     reload::start_thread(reloader, shared.clone(), signals.clone())?;
-    let control = shared.clone();
+    let supervisor = Supervisor::start();
+    let (control, watched) = (shared.clone(), supervisor.clone());
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || driver::run(control, events, queue))
+        .spawn(move || {
+            let _watched = watched.watch("control");
+            driver::run(control, events, queue, &watched)
+        })
         .map_err(|e| Error::io("starting the control thread", e))?;
     // Bound before the readiness port, so that the load balancer sends no
     // connections that would be refused.
@@ -143,7 +149,7 @@
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
-    let traffic = serve_callers(shared, listener, signals);
+    let traffic = serve_callers(shared, listener, signals, &supervisor);
     LocalSet::new().block_on(&runtime, traffic)?;
     if let Some(exporter) = exporter {
         exporter.stop();
@@ -179,18 +185,31 @@
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
     signals: &Signals,
+    supervisor: &Supervisor,
 ) -> Result<()> {
     let listener =
         TcpListener::from_std(listener).map_err(|e| Error::io("accepting callers", e))?;
     let front = Front::new(shared.clone());
-    spawn_local(publish_load(shared.clone(), front.clone()));
-    let accepting = spawn_local(front.accept(listener));
-    signals.stopped().await;
+    supervisor.spawn("load", publish_load(shared.clone(), front.clone()));
+    let accepting = supervisor.spawn("accept", front.accept(listener));
+    let failed = tokio::select! {
+        () = signals.stopped() => None,
+        part = supervisor.failure() => Some(part),
+    };
+    if let Some(part) = failed {
+        journal::write("process.failed", &[("part", part.into())]);
+    }
     drain(&shared).await;
     accepting.abort();
     shared.send_event(control::Event::Stop);
     sleep(LEASE_END_WAIT.as_duration()).await;
-    Ok(())
+    match failed {
+        None => Ok(()),
+        Some(part) => Err(Error::io(
+            format!("running {part}"),
+            std::io::Error::other("it panicked"),
+        )),
+    }
 }
 
 /// Publishes the requests in flight to the control thread at a fixed interval.
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -9,7 +9,6 @@
 use compact_str::{CompactString, format_compact};
 use http::StatusCode;
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::connection::{CALL_LIMITS, CallClient, ENDPOINT_LIMITS, call};
@@ -22,6 +21,7 @@
 use super::queue::EventSender;
 use super::shared::Shared;
 use super::store::Store;
+use super::supervision::Supervisor;
 use super::sync::{LEADER_KEY, MEMBER_PREFIX, SECRET_KEY};
 use crate::clock::Millis;
 use crate::journal;
@@ -63,9 +63,9 @@
     }
 
     /// Starts maintaining the lease and receiving datagrams from other gateways.
-    pub fn start(self: &Rc<Self>) {
-        spawn_local(self.clone().maintain_lease());
-        spawn_local(self.clone().receive_datagrams());
+    pub fn start(self: &Rc<Self>, supervisor: &Supervisor) {
+        supervisor.spawn("lease", self.clone().maintain_lease());
+        supervisor.spawn("datagrams", self.clone().receive_datagrams());
     }
 
     fn send_event(&self, event: Event) {
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -18,6 +18,7 @@
 use super::shared::Shared;
 use super::store::Store;
 use super::streams::StreamRecord;
+use super::supervision::{Supervisor, spawn_restarting};
 use super::sync::{
     ConfigurationFollower, FleetFollower, RegistrationFollower, RelayProgress, follow,
 };
@@ -38,14 +39,19 @@
 const TICKS_PER_USAGE_REPORT: u32 = 5;
 
 /// Runs the control thread until the process ends.
-pub fn run(shared: Arc<Shared>, events: EventSender, queue: EventQueue) -> Result<()> {
+pub fn run(
+    shared: Arc<Shared>,
+    events: EventSender,
+    queue: EventQueue,
+    supervisor: &Supervisor,
+) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the control runtime", e))?;
     let store = Rc::new(Store::new(shared.settings.store, shared.dialect.clone()));
     let driver = Driver { shared, events };
-    LocalSet::new().block_on(&runtime, driver.drive(store, queue));
+    LocalSet::new().block_on(&runtime, driver.drive(store, queue, supervisor));
     Ok(())
 }
 
@@ -55,19 +61,29 @@
 }
 
 impl Driver {
-    async fn drive(self, store: Rc<Store>, mut queue: EventQueue) {
+    async fn drive(self, store: Rc<Store>, mut queue: EventQueue, supervisor: &Supervisor) {
         let events = self.events.clone();
         let calls = BackgroundCalls::new(store.clone(), self.shared.clone(), events.clone());
-        calls.start();
-        spawn_local(follow(store.clone(), events.clone(), ConfigurationFollower));
+        calls.start(supervisor);
+        let follows = (store.clone(), events.clone());
+        spawn_restarting(move || {
+            let (store, events) = follows.clone();
+            follow(store, events, ConfigurationFollower)
+        });
         let relay_progress = Rc::new(RelayProgress::default());
-        let registrations = RegistrationFollower {
-            relay: relay_progress.clone(),
-            clock: self.shared.clock.clone(),
-        };
-        spawn_local(follow(store.clone(), events.clone(), registrations));
-        spawn_local(follow(store, events.clone(), FleetFollower));
-        spawn_local(tick(self.shared.clone(), events));
+        let follows = (store.clone(), events.clone());
+        let (relay, clock) = (relay_progress.clone(), self.shared.clock.clone());
+        spawn_restarting(move || {
+            let (store, events) = follows.clone();
+            let (relay, clock) = (relay.clone(), clock.clone());
+            follow(store, events, RegistrationFollower { relay, clock })
+        });
+        let follows = (store, events.clone());
+        spawn_restarting(move || {
+            let (store, events) = follows.clone();
+            follow(store, events, FleetFollower)
+        });
+        supervisor.spawn("tick", tick(self.shared.clone(), events));
         let mut control = Control::new(self.shared.settings.clone());
         let mut workload = Workload::default();
         while let Some(Queued { event, sent_at }) = queue.next().await {
