--- a/src/direct.rs
+++ b/src/direct.rs
@@ -49,6 +49,7 @@
 pub mod shares;
 pub mod store;
 pub mod streams;
+mod supervision;
 pub mod suspects;
 pub mod sync;
 pub mod view;
@@ -59,7 +60,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 use tokio::time::sleep;
 
 use crate::clock::{Clock, Millis};
@@ -74,8 +75,9 @@
 use internal::InternalServer;
 use queue::event_queue;
 use readiness::Readiness;
-use settings::Settings;
+use reload::Reloader;
 use shared::Shared;
+use supervision::Supervisor;
 
 /// How long a stopping gateway keeps accepting connections. The load balancer
 /// checks readiness every second and removes a process after two failed checks.
@@ -92,13 +94,19 @@
 
 /// Runs a gateway until a stop signal arrives and its open requests have ended or the
 /// grace period is nearly over.
-pub fn run(
-    settings: Settings,
+pub fn run(reloader: Reloader, dialect: Arc<dyn Dialect>, signals: &Signals) -> Result<()> {
+    signals.begin_service();
+    let ended = run_until_stopped(reloader, dialect, signals);
+    journal::flush_at_end();
+    ended
+}
+
+fn run_until_stopped(
+    reloader: Reloader,
     dialect: Arc<dyn Dialect>,
-    max_descriptors: u32,
     signals: &Signals,
 ) -> Result<()> {
-    signals.begin_service();
+    let settings = reloader.settings().gateway.clone();
     let _log = logs::start_in_journal()?;
     journal::write(
         "process.started",
@@ -115,14 +123,20 @@
     let shared = Arc::new(Shared::new(
         clock,
         settings,
+        reloader.live(),
         dialect,
         metrics,
         events.clone(),
     ));
-    let control = shared.clone();
+    reload::start_thread(reloader, shared.clone(), signals.clone())?;
+    let supervisor = Supervisor::start();
+    let (control, watched) = (shared.clone(), supervisor.clone());
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || driver::run(control, events, queue))
+        .spawn(move || {
+            let _watched = watched.watch("control");
+            driver::run(control, events, queue, &watched)
+        })
         .map_err(|e| Error::io("starting the control thread", e))?;
     // Bound before the readiness port, so that the load balancer sends no
     // connections that would be refused.
@@ -139,7 +153,7 @@
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the traffic runtime", e))?;
-    let traffic = serve_callers(shared, listener, max_descriptors, signals);
+    let traffic = serve_callers(shared, listener, signals, &supervisor);
     LocalSet::new().block_on(&runtime, traffic)?;
     if let Some(exporter) = exporter {
         exporter.stop();
@@ -147,7 +161,6 @@
     internal.stop();
     readiness.stop();
     journal::write("process.stopped", &[]);
-    journal::flush();
     Ok(())
 }
 
@@ -175,20 +188,32 @@
 async fn serve_callers(
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
-    max_descriptors: u32,
     signals: &Signals,
+    supervisor: &Supervisor,
 ) -> Result<()> {
     let listener =
         TcpListener::from_std(listener).map_err(|e| Error::io("accepting callers", e))?;
-    let front = Front::new(shared.clone(), max_descriptors);
-    spawn_local(publish_load(shared.clone(), front.clone()));
-    let accepting = spawn_local(front.accept(listener));
-    signals.stopped().await;
+    let front = Front::new(shared.clone());
+    supervisor.spawn("load", publish_load(shared.clone(), front.clone()));
+    let accepting = supervisor.spawn("accept", front.accept(listener));
+    let failed = tokio::select! {
+        () = signals.stopped() => None,
+        part = supervisor.failure() => Some(part),
+    };
+    if let Some(part) = failed {
+        journal::write("process.failed", &[("part", part.into())]);
+    }
     drain(&shared).await;
     accepting.abort();
     shared.send_event(control::Event::Stop);
     sleep(LEASE_END_WAIT.as_duration()).await;
-    Ok(())
+    match failed {
+        None => Ok(()),
+        Some(part) => Err(Error::io(
+            format!("running {part}"),
+            std::io::Error::other("it panicked"),
+        )),
+    }
 }
 
 /// Publishes the requests in flight to the control thread at a fixed interval.
@@ -211,7 +236,7 @@
         &[("open", shared.open_requests().into())],
     );
     sleep(DRAIN_ANNOUNCE_TIME.as_duration()).await;
-    let latest = shared.settings.bounds.grace - GRACE_MARGIN;
+    let latest = shared.bounds().grace - GRACE_MARGIN;
     while shared.open_requests() > 0 && shared.now().since(since) < latest {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -15,6 +15,7 @@
 use crate::direct::ledger::EngineCall;
 use crate::direct::members::Member;
 use crate::direct::part_table::PartLists;
+use crate::direct::settings::Bounds;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
 use crate::direct::suspects::{Block, CrashReport, PartId, PartProgress};
@@ -135,6 +136,8 @@
     HoldingsReady(Holdings),
     /// The leader decides on placement now.
     Decide,
+    /// The operator changed the bounds.
+    Bounds(Bounds),
     /// The process is asked to shut down and finishes its requests first.
     Drain,
     /// The process is about to exit.
@@ -168,6 +171,7 @@
             Self::Reported { .. } => "reported",
             Self::HoldingsReady(_) => "holdings_ready",
             Self::Decide => "decide",
+            Self::Bounds(_) => "settings",
             Self::Drain | Self::Stop => "stop",
         }
     }
