Operators see, set and lift blocks of parts

GET /parts on a gateway's internal address lists blocks and suspects; PUT and DELETE /parts/PART with the token of the gateways set and lift a block, which goes to all gateways and into the store. rattanstallctl parts, block and unblock do the same.

A started gateway answers 401 until it has read the secret from the store.

--- a/src/bin/rattanstallctl/commands.rs
+++ b/src/bin/rattanstallctl/commands.rs
@@ -12,6 +12,8 @@
 use rattanstall::tls;
 use serde_json::{Value, json};
 
+use crate::parts;
+
 /// How long `--wait` waits for all gateways.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -77,6 +79,24 @@
         about: "shuts one process down gracefully",
         run: drain,
     },
+    Command {
+        name: "parts",
+        operands: "ADDRESS",
+        about: "shows blocked parts of prompts and suspects",
+        run: parts::list,
+    },
+    Command {
+        name: "block",
+        operands: "ADDRESS PART",
+        about: "refuses requests with a part at all gateways",
+        run: parts::block,
+    },
+    Command {
+        name: "unblock",
+        operands: "ADDRESS PART",
+        about: "lifts the block of a part at all gateways",
+        run: parts::unblock,
+    },
     Command {
         name: "tls",
         operands: "DIRECTORY",
@@ -123,6 +143,7 @@
             "wait",
             "wait until the change is in force on all gateways",
         );
+        opts.optopt("t", "token", "file with the gateways' token", "FILE");
         opts.optflag("j", "json", "print JSON");
         opts.optflag("h", "help", "print this help");
         let brief = format!(
@@ -135,7 +156,7 @@
             println!("{usage}");
             return Ok(None);
         }
-        let operand_count = usize::from(!self.operands.is_empty());
+        let operand_count = self.operands.split_whitespace().count();
         if matches.free.len() != operand_count {
             return Err(format!("{operand_count} operand(s) expected\n\n{usage}"));
         }
@@ -149,8 +170,14 @@
 }
 
 impl Args {
-    fn operand(&self) -> &str {
-        self.matches.free.first().map_or("", String::as_str)
+    /// The operand at a position.
+    pub fn operand(&self, at: usize) -> &str {
+        self.matches.free.get(at).map_or("", String::as_str)
+    }
+
+    /// The value of an option.
+    pub fn option(&self, name: &str) -> Option<String> {
+        self.matches.opt_str(name)
     }
 
     fn is_json(&self) -> bool {
@@ -181,7 +208,7 @@
 }
 
 fn validate(args: &Args) -> Result<()> {
-    let document = Document::read(Path::new(args.operand()))?;
+    let document = Document::read(Path::new(args.operand(0)))?;
     print(args, &json!({ "valid": true }), || {
         format!(
             "valid: {} workspaces, {} classes, {} routes, {} keys",
@@ -195,7 +222,7 @@
 }
 
 fn diff(args: &Args) -> Result<()> {
-    let document = Document::read(Path::new(args.operand()))?;
+    let document = Document::read(Path::new(args.operand(0)))?;
     let operator = args.operator()?;
     let current = block_on(operator.current())??;
     let change = current.document().diff(&document);
@@ -206,7 +233,7 @@
 }
 
 fn apply(args: &Args) -> Result<()> {
-    let document = Document::read(Path::new(args.operand()))?;
+    let document = Document::read(Path::new(args.operand(0)))?;
     let operator = args.operator()?;
     let revision = block_on(operator.apply(document, args.expected()?))??;
     finish_change(args, &operator, revision, json!({ "revision": revision }))
@@ -214,7 +241,7 @@
 
 fn key_create(args: &Args) -> Result<()> {
     let operator = args.operator()?;
-    let key = block_on(operator.create_key(args.operand()))??;
+    let key = block_on(operator.create_key(args.operand(0)))??;
     let value = json!({
         "secret": key.secret, "digest": key.digest, "revision": key.revision,
     });
@@ -223,7 +250,7 @@
 
 fn key_withdraw(args: &Args) -> Result<()> {
     let operator = args.operator()?;
-    let revision = block_on(operator.withdraw_key(args.operand()))??;
+    let revision = block_on(operator.withdraw_key(args.operand(0)))??;
     finish_change(args, &operator, revision, json!({ "revision": revision }))
 }
 
@@ -307,7 +334,7 @@
 }
 
 fn dump(args: &Args) -> Result<()> {
-    let address = parse_address("ADDRESS", args.operand())?;
+    let address = parse_address("ADDRESS", args.operand(0))?;
     let operator = Operator::new(address, None);
     let state = block_on(operator.state(address))??;
     println!("{state:#}");
@@ -315,39 +342,43 @@
 }
 
 fn drain(args: &Args) -> Result<()> {
-    let address = parse_address("ADDRESS", args.operand())?;
+    let address = parse_address("ADDRESS", args.operand(0))?;
     block_on(Operator::new(address, None).drain(address))??;
     print(args, &json!({ "draining": true }), || "draining".to_owned());
     Ok(())
 }
 
 fn create_tls(args: &Args) -> Result<()> {
-    let dir = Path::new(args.operand());
+    let dir = Path::new(args.operand(0));
     std::fs::create_dir_all(dir)
         .map_err(|e| Error::io(format!("creating {}", dir.display()), e))?;
     tls::create_material(dir)
 }
 
-fn print(args: &Args, value: &Value, text: impl FnOnce() -> String) {
+/// Prints JSON if that was asked for, and otherwise text.
+pub fn print(args: &Args, value: &Value, text: impl FnOnce() -> String) {
     match args.is_json() {
         true => println!("{value}"),
         false => println!("{}", text()),
     }
 }
 
-fn parse_address(key: &str, text: &str) -> Result<SocketAddr> {
+/// Parses an address; `key` names it in the error.
+pub fn parse_address(key: &str, text: &str) -> Result<SocketAddr> {
     let message = format!("\"{text}\" is not an address; allowed: IP:PORT");
     text.parse().map_err(|_| usage_error(key, &message))
 }
 
-fn usage_error(key: &str, message: &str) -> Error {
+/// The error of an operand or option that is not valid.
+pub fn usage_error(key: &str, message: &str) -> Error {
     Error::Config {
         key: key.to_owned(),
         message: message.to_owned(),
     }
 }
 
-fn block_on<F: Future>(future: F) -> Result<F::Output> {
+/// Runs a future to its end.
+pub fn block_on<F: Future>(future: F) -> Result<F::Output> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -70,6 +70,7 @@
 use dialect::Dialect;
 use front::Front;
 use internal::InternalServer;
+pub use internal::{PEER_TOKEN_HEADER, peer_token};
 use queue::event_queue;
 use readiness::Readiness;
 use settings::Settings;
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -229,6 +229,7 @@
             Event::EndpointCrashed(report) => self.endpoint_crashed(now, report, &mut out),
             Event::PartsProgressed(progress) => self.parts_progressed(now, progress),
             Event::PartsChecked(answered) => self.parts_checked(now, answered),
+            Event::BlockOrdered { part, state } => self.order_block(now, part, state),
             Event::BlocksRecorded { revision, blocks } => {
                 self.blocks_recorded(now, revision, blocks)
             }
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -17,7 +17,7 @@
 use crate::direct::part_table::PartLists;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
-use crate::direct::suspects::{Block, CrashReport, PartId, PartProgress};
+use crate::direct::suspects::{Block, BlockState, CrashReport, PartId, PartProgress, Snapshot};
 use crate::direct::view::LoadTable;
 
 /// The content of the leader key in the store.
@@ -98,6 +98,13 @@
     PartsProgressed(Vec<PartProgress>),
     /// These parts were answered here, in reply to [`Effect::CheckParts`].
     PartsChecked(Vec<PartProgress>),
+    /// An operator blocks a part or lifts its block.
+    BlockOrdered {
+        /// The part.
+        part: PartId,
+        /// What it has to be.
+        state: BlockState,
+    },
     /// The record of blocks in the store was read or written, or has changed.
     BlocksRecorded {
         /// Its revision; 0 if it does not exist.
@@ -162,6 +169,7 @@
             Self::EndpointCrashed(_) => "endpoint_crashed",
             Self::PartsProgressed(_) => "parts_progressed",
             Self::PartsChecked(_) => "parts_checked",
+            Self::BlockOrdered { .. } => "block_ordered",
             Self::BlocksRecorded { .. } | Self::RecordFailed => "blocks_recorded",
             Self::TokensNeeded { .. } => "tokens_needed",
             Self::OrderAnswered { .. } => "order_answered",
@@ -226,6 +234,8 @@
     LearnStreams(Vec<StreamRecord>),
     /// Publish the parts that are blocked or watched to the traffic threads.
     PublishParts(PartLists),
+    /// Show operators what is known of parts.
+    ShowParts(Snapshot),
     /// Send [`Event::PartsChecked`] with those parts that were answered here lately.
     CheckParts {
         /// The parts.
--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -5,7 +5,7 @@
 mod outbox;
 mod storage;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::{CompactString, ToCompactString as _};
 
 use super::{Control, Effect};
 use crate::clock::Millis;
@@ -66,6 +66,8 @@
     told: Vec<(PartId, Millis)>,
     /// Whether the evidence has changed since the lists were made.
     has_changed: bool,
+    /// Whether it has changed since operators were last shown it.
+    is_unshown: bool,
     next_publication: Millis,
     next_expiry: Millis,
     /// When this gateway last saw a crash itself.
@@ -262,6 +264,14 @@
         }
     }
 
+    /// An operator blocks a part or lifts its block.
+    pub(super) fn order_block(&mut self, now: Millis, part: PartId, state: BlockState) {
+        let block = self.parts.evidence.set_by_operator(now, part, state);
+        self.parts.has_changed = true;
+        self.parts.outbox.push_block(now, block);
+        self.parts.storage.note_own_change();
+    }
+
     /// Decides on the evidence if it has changed, publishes what follows from it and
     /// sends what is due. Called after each event.
     pub(super) fn settle_parts(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -281,6 +291,9 @@
         self.report_back(now, out);
         self.exchange_parts(now, out);
         self.record_blocks(now, out);
+        if std::mem::take(&mut self.parts.is_unshown) {
+            out.push(Effect::ShowParts(self.parts.evidence.snapshot(now)));
+        }
     }
 
     fn decide_on_parts(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -298,6 +311,7 @@
         if std::mem::take(&mut self.parts.has_changed) {
             self.parts.next_publication = now + PUBLISH_INTERVAL;
             self.parts.storage.note_change();
+            self.parts.is_unshown = true;
             self.publish_parts(now, out);
         }
     }
@@ -329,13 +343,9 @@
     }
 }
 
-fn hex(part: PartId) -> CompactString {
-    format_compact!("{:016x}", part.0)
-}
-
 fn log_crash(report: &CrashReport, from: &str) {
     let parts = report.parts.iter().take(MAX_LOGGED_PARTS);
-    let parts: Vec<CompactString> = parts.map(|part| hex(*part)).collect();
+    let parts: Vec<CompactString> = parts.map(|part| part.to_compact_string()).collect();
     journal::write(
         "endpoint.crashed",
         &[
@@ -356,15 +366,12 @@
     };
     let is_new = |part: &&PartId| before.blocked.binary_search(part).is_err();
     for block in after.blocked.iter().filter(is_new).filter_map(|p| find(*p)) {
-        let endpoints: &[CompactString] = match &block.cause {
-            BlockCause::Crashes(endpoints) => endpoints,
-            _ => &[],
-        };
+        let endpoints = block.cause.endpoints();
         journal::write(
             "part.blocked",
             &[
-                ("part", (&hex(block.part)).into()),
-                ("why", cause_name(&block.cause).into()),
+                ("part", (&block.part.to_compact_string()).into()),
+                ("why", block.cause.name().into()),
                 ("endpoints", (&endpoints.join(", ")).into()),
                 ("crashes", endpoints.len().into()),
             ],
@@ -373,18 +380,13 @@
     let is_gone = |part: &&PartId| after.blocked.binary_search(part).is_err();
     for part in before.blocked.iter().filter(is_gone) {
         let lifted = find(*part).filter(|b| b.state == BlockState::Lifted);
-        let why = lifted.map_or("expired", |b| cause_name(&b.cause));
+        let why = lifted.map_or("expired", |b| b.cause.name());
         journal::write(
             "part.unblocked",
-            &[("part", (&hex(*part)).into()), ("why", why.into())],
+            &[
+                ("part", (&part.to_compact_string()).into()),
+                ("why", why.into()),
+            ],
         );
     }
 }
-
-fn cause_name(cause: &BlockCause) -> &'static str {
-    match cause {
-        BlockCause::Progress => "progress",
-        BlockCause::Operator => "operator",
-        _ => "crashes",
-    }
-}
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -127,7 +127,13 @@
             Effect::LearnStreams(records) => {
                 self.shared.streams.learn(self.shared.now(), records);
             }
-            Effect::PublishParts(lists) => self.shared.parts.publish(lists),
+            Effect::PublishParts(lists) => {
+                self.shared
+                    .metrics
+                    .record_blocked_parts(lists.blocked.len());
+                self.shared.parts.publish(lists);
+            }
+            Effect::ShowParts(known) => self.shared.set_part_evidence(known),
             Effect::CheckParts { parts, max_age } => self.check_parts(&parts, max_age),
             Effect::RecordBlocks { expected, blocks } => {
                 spawn_local(calls.clone().record_blocks(expected, blocks));
--- a/src/direct/internal.rs
+++ b/src/direct/internal.rs
@@ -1,5 +1,7 @@
-//! The internal HTTP server for operators and other gateways: state dump, metrics
-//! and configuration.
+//! The internal HTTP server for operators and other gateways: state dump, metrics,
+//! configuration and blocked parts.
+
+mod parts;
 
 use std::sync::Arc;
 
@@ -13,6 +15,8 @@
 use crate::code::Code;
 use crate::http::{Request, Respond, Response, buffered, json as json_response};
 
+use parts::PARTS_PATH;
+
 /// The path from which other gateways fetch the configuration.
 pub const CONFIGURATION_PATH: &str = "/configuration";
 /// The query key with the version that the asking gateway has.
@@ -53,15 +57,18 @@
         Self { shared }
     }
 
+    /// Whether the sender has the gateways' token.
+    fn is_member(&self, req: &Request) -> bool {
+        let presented = req.header(PEER_TOKEN_HEADER.as_str());
+        let token = self.shared.peer_token();
+        token.is_some_and(|t| presented == Some(t.as_str()))
+    }
+
     /// Responds with the configuration as the operator wrote it, or without content if
     /// the asking gateway has it. Only gateways may read it, because it contains callers'
     /// keys.
     fn configuration(&self, req: &Request) -> Response {
-        let presented = req.header(PEER_TOKEN_HEADER.as_str());
-        let is_member = self
-            .shared
-            .peer_token()
-            .is_some_and(|t| presented == Some(t.as_str()));
+        let is_member = self.is_member(req);
         let document = self.shared.view().document.clone();
         let known_version = known_version(&req.uri);
         match document {
@@ -129,7 +136,11 @@
                 self.shared.metrics.render(),
             ),
             CONFIGURATION_PATH => self.configuration(&req),
-            _ => refusal(Code::NoRoute),
+            path => match path.strip_prefix(PARTS_PATH) {
+                Some("") => self.parts(&req, ""),
+                Some(rest) if rest.starts_with('/') => self.parts(&req, &rest[1..]),
+                _ => refusal(Code::NoRoute),
+            },
         }
     }
 }
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -26,7 +26,8 @@
 /// The group of events that an event is queued with, in order of precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Lane {
-    /// The configuration, this gateway's lease, the leader and the set of gateways.
+    /// The configuration, this gateway's lease, the leader, the set of gateways, and what
+    /// an operator orders.
     Fleet,
     /// Registrations and crashes of endpoints.
     Endpoints,
@@ -44,6 +45,7 @@
         | Event::LeadershipClaimed { .. }
         | Event::LeaseHeld(_)
         | Event::LeaseLost
+        | Event::BlockOrdered { .. }
         | Event::Drain
         | Event::Stop => Lane::Fleet,
         // Whether the store answers decides how a removed registration is understood, so
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -15,6 +15,7 @@
 use super::request::ModelRef;
 use super::settings::Settings;
 use super::streams::Streams;
+use super::suspects::Snapshot;
 use super::view::{LoadTable, View};
 use crate::bucket::BucketCell;
 use crate::clock::{Clock, Millis};
@@ -51,6 +52,7 @@
     pub streams: Streams,
     /// Parts of prompts that are blocked or watched, and those answered here lately.
     pub parts: PartTable,
+    part_evidence: ArcSwap<(Millis, Snapshot)>,
     view: ArcSwap<View>,
     generation: watch::Sender<u64>,
     buckets: ArcSwap<Vec<Arc<BucketCell>>>,
@@ -83,6 +85,7 @@
             metrics,
             streams: Streams::default(),
             parts: PartTable::default(),
+            part_evidence: ArcSwap::default(),
             view: ArcSwap::default(),
             generation: watch::Sender::new(0),
             buckets: ArcSwap::default(),
@@ -117,6 +120,16 @@
         self.generation.send_replace(generation);
     }
 
+    /// What is known of parts that end endpoints, as of a time.
+    pub fn part_evidence(&self) -> Arc<(Millis, Snapshot)> {
+        self.part_evidence.load_full()
+    }
+
+    /// Replaces what is known of parts that end endpoints.
+    pub fn set_part_evidence(&self, known: Snapshot) {
+        self.part_evidence.store(Arc::new((self.now(), known)));
+    }
+
     /// Subscribes to changes of the view; the value is the view's generation.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.generation.subscribe()
--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -13,6 +13,10 @@
 mod block;
 mod score;
 
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +48,21 @@
 #[serde(transparent)]
 pub struct PartId(pub u64);
 
+/// Sixteen hexadecimal digits, as in logs and commands.
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Identifies one run of an endpoint that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/direct/suspects/block.rs
+++ b/src/direct/suspects/block.rs
@@ -33,6 +33,25 @@
     Operator,
 }
 
+impl BlockCause {
+    /// The name for logs and operators.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Crashes(_) => "crashes",
+            Self::Progress => "progress",
+            Self::Operator => "operator",
+        }
+    }
+
+    /// The endpoints that ended.
+    pub fn endpoints(&self) -> &[CompactString] {
+        match self {
+            Self::Crashes(endpoints) => endpoints,
+            Self::Progress | Self::Operator => &[],
+        }
+    }
+}
+
 /// The state of one part. A newer state has a higher generation, at all gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Block {
--- a/src/http.rs
+++ b/src/http.rs
@@ -254,8 +254,19 @@
     body: Bytes,
     timeout: Duration,
 ) -> Result<Bytes> {
+    fetch_request(client, build_request(method, uri, body)?, timeout).await
+}
+
+/// Sends a request and reads the whole response, within a timeout.
+/// A status other than 2xx is an error.
+pub async fn fetch_request(
+    client: &HttpClient,
+    req: http::Request<Full<Bytes>>,
+    timeout: Duration,
+) -> Result<Bytes> {
+    let uri = req.uri().clone();
     let exchange = async {
-        let res = send(client, method, uri, body).await?;
+        let res = client.request(req).await.map_err(http_error)?;
         let status = res.status();
         let bytes = res.into_body().collect().await.map_err(http_error)?;
         let bytes = bytes.to_bytes();
@@ -278,13 +289,18 @@
     uri: &str,
     body: Bytes,
 ) -> Result<http::Response<Incoming>> {
-    let req = http::Request::builder()
+    let req = build_request(method, uri, body)?;
+    client.request(req).await.map_err(http_error)
+}
+
+/// Builds a request with a JSON body.
+pub fn build_request(method: Method, uri: &str, body: Bytes) -> Result<http::Request<Full<Bytes>>> {
+    http::Request::builder()
         .method(method)
         .uri(uri)
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
-        .map_err(http_error)?;
-    client.request(req).await.map_err(http_error)
+        .map_err(http_error)
 }
 
 fn http_error(error: impl std::fmt::Display) -> Error {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,7 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
@@ -23,6 +23,7 @@
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
     control_wait: Histogram<f64>,
+    blocked_parts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -67,6 +68,10 @@
                 "rattanstall.control.wait",
                 "Time that an event waits for the control thread",
             ),
+            blocked_parts: meter
+                .u64_gauge("rattanstall.parts.blocked")
+                .with_description("Parts of prompts that are refused")
+                .build(),
             registry,
             provider,
         })
@@ -112,6 +117,11 @@
         self.control_wait.record(secs(waited), &[]);
     }
 
+    /// Records how many parts of prompts are refused.
+    pub fn record_blocked_parts(&self, parts: usize) {
+        self.blocked_parts.record(parts as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,15 +6,16 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use http::Method;
+use http::{HeaderValue, Method};
 use serde::Serialize;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
 use crate::config::{Change, Document, Key, sha256_hex};
 use crate::configuration::{Configuration, append, read_current};
+use crate::direct::PEER_TOKEN_HEADER;
 use crate::error::{Error, Result};
-use crate::http::{HttpClient, client, fetch};
+use crate::http::{HttpClient, build_request, client, fetch, fetch_request};
 use crate::instances::{Instance, InstanceList, Role};
 use crate::platform::Platform;
 
@@ -174,6 +175,34 @@
         self.post(admin, "/drain").await
     }
 
+    /// Reads which parts of prompts one gateway knows as blocked or suspect.
+    pub async fn parts(&self, address: SocketAddr) -> Result<Value> {
+        let uri = format!("http://{address}/parts");
+        let body = fetch(&self.client, Method::GET, &uri, Bytes::new(), CALL_TIMEOUT).await?;
+        serde_json::from_slice(&body).map_err(|e| Error::Http(e.to_string()))
+    }
+
+    /// Blocks a part of prompts at all gateways, or lifts its block, through one of them.
+    pub async fn set_part(
+        &self,
+        address: SocketAddr,
+        part: &str,
+        is_blocked: bool,
+        token: &str,
+    ) -> Result<()> {
+        let method = match is_blocked {
+            true => Method::PUT,
+            false => Method::DELETE,
+        };
+        let uri = format!("http://{address}/parts/{part}");
+        let mut req = build_request(method, &uri, Bytes::new())?;
+        let token = HeaderValue::from_str(token).map_err(|e| Error::Http(e.to_string()))?;
+        req.headers_mut().insert(PEER_TOKEN_HEADER, token);
+        fetch_request(&self.client, req, CALL_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
     async fn append_independent(&self, change: &Change) -> Result<u64> {
         let mut last_conflict = None;
         for _ in 0..APPEND_ATTEMPTS {
