--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -16,6 +16,7 @@
 use super::request::ModelRef;
 use super::settings::{Bounds, Settings};
 use super::streams::Streams;
+use super::suspects::Snapshot;
 use super::view::{LoadTable, View};
 use crate::bucket::BucketCell;
 use crate::clock::{Clock, Millis};
@@ -53,6 +54,7 @@
     /// Parts of prompts that are blocked or watched, and those answered here lately.
     pub parts: PartTable,
     live_settings: ArcSwap<LiveSettings>,
+    part_evidence: ArcSwap<(Millis, Snapshot)>,
     view: ArcSwap<View>,
     generation: watch::Sender<u64>,
     buckets: ArcSwap<Vec<Arc<BucketCell>>>,
@@ -88,6 +90,7 @@
             streams: Streams::default(),
             parts: PartTable::default(),
             live_settings: ArcSwap::from_pointee(live_settings),
+            part_evidence: ArcSwap::default(),
             view: ArcSwap::default(),
             generation: watch::Sender::new(0),
             buckets: ArcSwap::default(),
@@ -138,6 +141,16 @@
         self.generation.send_replace(generation);
     }
 
+    /// What is known of parts that end endpoints, as of a time.
+    pub fn part_evidence(&self) -> Arc<(Millis, Snapshot)> {
+        self.part_evidence.load_full()
+    }
+
+    /// Replaces what is known of parts that end endpoints.
+    pub fn set_part_evidence(&self, known: Snapshot) {
+        self.part_evidence.store(Arc::new((self.now(), known)));
+    }
+
     /// Subscribes to changes of the view; the value is the view's generation.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.generation.subscribe()
--- a/src/direct/suspects/block.rs
+++ b/src/direct/suspects/block.rs
@@ -47,6 +47,16 @@
 }
 
 impl BlockCause {
+    /// The name for logs and operators.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Crashes(_) => "crashes",
+            Self::Tried(_) => "tried",
+            Self::Progress => "progress",
+            Self::Operator => "operator",
+        }
+    }
+
     /// The endpoints that ended.
     pub fn endpoints(&self) -> &[CompactString] {
         match self {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -26,6 +26,7 @@
     settings_version: Gauge<u64>,
     settings_hash: Gauge<u64>,
     rejected_settings: Counter<u64>,
+    blocked_parts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -82,6 +83,10 @@
                 .u64_counter("rattanstall.settings.rejected")
                 .with_description("Settings files that were not valid")
                 .build(),
+            blocked_parts: meter
+                .u64_gauge("rattanstall.parts.blocked")
+                .with_description("Parts of prompts that are refused")
+                .build(),
             registry,
             provider,
         })
@@ -138,6 +143,11 @@
         self.rejected_settings.add(1, &[]);
     }
 
+    /// Records how many parts of prompts are refused.
+    pub fn record_blocked_parts(&self, parts: usize) {
+        self.blocked_parts.record(parts as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
