--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -38,8 +38,8 @@
 const ORIGIN: Millis = Millis(30 * 24 * 3_600_000);
 /// The most crashes that are kept.
 const MAX_CRASHES: usize = 512;
-/// The most parts of one crash that are kept, so that its report fits a datagram.
-pub const MAX_CRASH_PARTS: usize = 96;
+/// The most parts of one crash that are kept.
+pub const MAX_CRASH_PARTS: usize = 128;
 /// The most groups of parts that one decision blocks.
 const MAX_ROUNDS: usize = 16;
 /// The most parts whose progress is kept.
