Requests with a suspect part begin one after the other at a gateway

Cause: while a part was suspect, requests with it that came close together each ended an endpoint, since an endpoint ends some time after the request arrives and the first end was not known yet. The evidence has to span 120 ms, so that crashes sooner than that after the first one only cost endpoints.

Change: a request with parts that are watched (or that a run left as suspects here within the last second) and that were not answered here lately takes one turn for all of them. It waits while another run with one of them has not got under way, and for 120 ms after a run with one of them broke off, unless the endpoint turns out to be alive. The wait is bounded by 300 ms and a sixth of the remaining time, after which the request goes on; its parts are checked for blocks before and after. No request holds a turn while it waits for one, and dropping the run ends the turn. Requests without suspects read one flag more.

Turns are taken per gateway: a burst at many gateways may end one endpoint at each.

--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -6,6 +6,7 @@
 //! faulty answer, so that the endpoint is probed once by connecting to it.
 
 mod cases;
+mod turns;
 
 use std::cell::RefCell;
 use std::io::ErrorKind;
@@ -14,12 +15,14 @@
 
 use http::StatusCode;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 pub use cases::{
     Cases, Ended, ProgressLog, Step, Suspect, Verdict, is_dangerous, reported_parts, suspects_of,
 };
+pub use turns::{Turn, Turns};
 
 use super::control::Event;
 use super::dialect::Registration;
@@ -45,6 +48,9 @@
     shared: Arc<Shared>,
     cases: RefCell<Cases>,
     progress: RefCell<ProgressLog>,
+    turns: RefCell<Turns>,
+    /// Wakes the requests that wait for a turn.
+    turn_ended: Notify,
 }
 
 impl CrashWatch {
@@ -54,11 +60,19 @@
             shared,
             cases: RefCell::default(),
             progress: RefCell::default(),
+            turns: RefCell::default(),
+            turn_ended: Notify::new(),
         })
     }
 
-    /// Watches a run that is about to be sent. Prompts without parts are not watched.
-    pub fn watch(self: &Rc<Self>, job: &Job, endpoint: &Arc<Registration>) -> Option<WatchedRun> {
+    /// Watches a run that is about to be sent, with its turn if it needed one. Prompts
+    /// without parts are not watched.
+    pub fn watch(
+        self: &Rc<Self>,
+        job: &Job,
+        endpoint: &Arc<Registration>,
+        turn: Option<Turn>,
+    ) -> Option<WatchedRun> {
         let parts = &job.metadata.parts;
         (!parts.is_empty()).then(|| WatchedRun {
             watch: self.clone(),
@@ -66,6 +80,8 @@
             parts: PartTable::shared_parts(parts).collect(),
             is_success: false,
             is_under_way: false,
+            // A part may have become suspect while the request was about to be sent.
+            turn: turn.or_else(|| self.begin_turn(job)),
         })
     }
 
@@ -77,6 +93,7 @@
             return None;
         }
         let suspects = suspects_of(&self.shared.parts, now, &run.parts, run.is_under_way);
+        self.turns.borrow_mut().record_break(now, id, &suspects);
         match cases.record_break(now, id, &suspects) {
             Step::Probe => {
                 spawn_local(self.clone().probe(id, run.endpoint.clone()));
@@ -119,6 +136,10 @@
                 )
             })
         });
+        if !has_ended {
+            self.turns.borrow_mut().acquit(id);
+            self.turn_ended.notify_waiters();
+        }
         let ended = self.cases.borrow_mut().conclude(id, has_ended);
         if let Some(ended) = ended {
             self.report(id, &endpoint, &ended);
@@ -166,6 +187,8 @@
     is_success: bool,
     /// Whether the answer has got under way, which is recorded once.
     is_under_way: bool,
+    /// Held until the answer has got under way.
+    turn: Option<Turn>,
 }
 
 impl WatchedRun {
@@ -173,6 +196,9 @@
     /// prompt.
     pub fn record_status(&mut self, status: StatusCode) {
         self.is_success = status.is_success();
+        if !self.is_success {
+            self.turn = None;
+        }
     }
 
     /// Records that a part of the body arrived.
@@ -203,6 +229,7 @@
     fn record_progress(&mut self) {
         if self.is_success && !std::mem::replace(&mut self.is_under_way, true) {
             self.watch.record_progress(&self.parts);
+            self.turn = None;
         }
     }
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -14,7 +14,7 @@
 use super::balance::{Criteria, candidates, choose};
 use super::buffers::BufferBudget;
 use super::control::{Event, Need};
-use super::crash_watch::{CrashWatch, Verdict};
+use super::crash_watch::{CrashWatch, Turn, Verdict};
 use super::fleet::{EndpointKey, FleetCell};
 use super::job::Job;
 use super::refusal::Refusal;
@@ -103,10 +103,13 @@
         // A server error is passed to the caller if no later attempt succeeds.
         let mut failure = None;
         while history.attempted.len() < MAX_ATTEMPTS {
-            if let Err(refusal) = job.check_parts(&self.shared) {
-                last = refusal;
-                break;
-            }
+            let turn = match self.wait_for_turn(job).await {
+                Ok(turn) => turn,
+                Err(refusal) => {
+                    last = refusal;
+                    break;
+                }
+            };
             let is_retry = !history.attempted.is_empty();
             if is_retry && !self.try_take_retry(job) {
                 break;
@@ -118,7 +121,7 @@
             };
             history.attempted.push(key);
             let last_event_id = resume.last_event_id.as_deref();
-            match self.attempt(job, key, last_event_id).await {
+            match self.attempt(job, key, last_event_id, turn).await {
                 Attempt::Answered(upstream) => {
                     let is_failure = upstream.status().is_server_error();
                     history.runs += 1;
@@ -156,6 +159,15 @@
         Err(last)
     }
 
+    /// Waits until a request with a suspect part may be sent, if it has one, and refuses it
+    /// if a part is blocked by then.
+    async fn wait_for_turn(&self, job: &Job) -> Result<Option<Turn>, Refusal> {
+        job.check_parts(&self.shared)?;
+        let turn = self.crash_watch.wait_for_turn(job).await;
+        job.check_parts(&self.shared)?;
+        Ok(turn)
+    }
+
     /// Whether a request that may have run may be sent again. If a part of its prompt
     /// may have ended the endpoint, it waits until that is known.
     pub async fn may_retry(&self, job: &Job, history: &mut AttemptHistory) -> bool {
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -12,7 +12,7 @@
 use crate::code::Code;
 use crate::direct::answer::UpstreamBody;
 use crate::direct::connection::{Connection, ENDPOINT_LIMITS, ExchangeError, has_connection_close};
-use crate::direct::crash_watch::{Verdict, WatchedRun};
+use crate::direct::crash_watch::{Turn, Verdict, WatchedRun};
 use crate::direct::dialect::Registration;
 use crate::direct::document::RouteKind;
 use crate::direct::fleet::{EndpointKey, InFlight};
@@ -51,6 +51,7 @@
         job: &Job,
         key: EndpointKey,
         last_event_id: Option<&str>,
+        turn: Option<Turn>,
     ) -> Attempt {
         let now = self.shared.now();
         let left = job.time_left(now);
@@ -58,7 +59,7 @@
             return Attempt::NotRun(Code::TargetMissed);
         }
         let in_flight = InFlight::start(&self.fleet, key, job.load(), now);
-        let exchange = self.exchange(job, in_flight, last_event_id);
+        let exchange = self.exchange(job, in_flight, last_event_id, turn);
         match timeout(left.as_duration(), exchange).await {
             Ok(attempt) => attempt,
             Err(_) => {
@@ -83,6 +84,7 @@
         job: &Job,
         in_flight: InFlight,
         last_event_id: Option<&str>,
+        turn: Option<Turn>,
     ) -> Attempt {
         let key = in_flight.key();
         let Some(endpoint) = self.registration_of(key) else {
@@ -104,7 +106,7 @@
             return Attempt::NotRun(refusal.code);
         }
         let req = job.request_for(&self.shared, &endpoint.id, last_event_id);
-        let run = self.crash_watch.watch(job, &endpoint);
+        let run = self.crash_watch.watch(job, &endpoint, turn);
         match connection.send(req).await {
             Ok(res) => {
                 let sent = Sent {
--- a/src/direct/part_table.rs
+++ b/src/direct/part_table.rs
@@ -96,6 +96,8 @@
     lists: ArcSwap<PartLists>,
     /// Whether any part is blocked, so that most requests read nothing else.
     has_blocked: AtomicBool,
+    /// The same for watched parts.
+    has_watched: AtomicBool,
     proofs: Mutex<Proofs>,
 }
 
@@ -104,6 +106,7 @@
         Self {
             lists: ArcSwap::default(),
             has_blocked: AtomicBool::new(false),
+            has_watched: AtomicBool::new(false),
             proofs: Mutex::new(Proofs {
                 seed: rand::random(),
                 sets: vec![[Proof::EMPTY; PROOFS_PER_SET]; PROOF_SETS],
@@ -116,8 +119,10 @@
     /// Replaces the lists.
     pub fn publish(&self, lists: PartLists) {
         let has_blocked = !lists.blocked.is_empty();
+        let has_watched = !lists.watched.is_empty();
         self.lists.store(lists.into());
         self.has_blocked.store(has_blocked, Ordering::Release);
+        self.has_watched.store(has_watched, Ordering::Release);
     }
 
     /// The parts of a prompt that several prompts can share: all but the last one,
@@ -136,6 +141,11 @@
         Self::shared_parts(parts).find(|part| lists.blocked.binary_search(part).is_ok())
     }
 
+    /// Whether any part is watched.
+    pub fn has_watched(&self) -> bool {
+        self.has_watched.load(Ordering::Acquire)
+    }
+
     /// Whether some crash speaks against a part, or it is blocked.
     pub fn is_watched(&self, part: PartId) -> bool {
         self.lists.load().watched.binary_search(&part).is_ok()
--- a/tests/direct_crash_watch.rs
+++ b/tests/direct_crash_watch.rs
@@ -6,7 +6,7 @@
 use rand_chacha::rand_core::{Rng, SeedableRng as _};
 use rattanstall::clock::Millis;
 use rattanstall::direct::crash_watch::{
-    Cases, Ended, ProgressLog, Step, Suspect, is_dangerous, reported_parts, suspects_of,
+    Cases, Ended, ProgressLog, Step, Suspect, Turns, is_dangerous, reported_parts, suspects_of,
 };
 use rattanstall::direct::part_table::{PartLists, PartTable};
 use rattanstall::direct::request::PromptPart;
@@ -203,3 +203,113 @@
         assert_eq!(late, has_ended.then_some(true));
     }
 }
+
+fn watching(ids: &[u64]) -> PartTable {
+    let table = PartTable::default();
+    table.publish(PartLists {
+        blocked: Vec::new(),
+        watched: parts(ids.iter().copied()),
+    });
+    table
+}
+
+fn turn_suspects(turns: &Turns, table: &PartTable, now: Millis, ids: &[u64]) -> Vec<u64> {
+    let shared = parts(ids.iter().copied());
+    let suspects = turns.suspects(table, now, shared.into_iter());
+    suspects.iter().map(|part| part.0).collect()
+}
+
+// Guards against requests that take turns although their parts are known to be sound, and
+// against a suspect part that needs none.
+#[test]
+fn only_suspects_that_were_not_answered_here_lately_need_a_turn() {
+    let mut turns = Turns::default();
+    let table = PartTable::default();
+    assert_eq!(turn_suspects(&turns, &table, NOW, &[1, 2, 3]), [0; 0]);
+    let table = watching(&[2, 3]);
+    table.record_progress(NOW, &parts([3]));
+    assert_eq!(turn_suspects(&turns, &table, NOW, &[1, 2, 3]), [2]);
+    let later = NOW + Millis(10_000);
+    assert_eq!(turn_suspects(&turns, &table, later, &[1, 2, 3]), [2, 3]);
+    // What broke off counts before the control thread has published it.
+    turns.record_break(NOW, ENDPOINT, &[suspect(0, 1), suspect(1, 3)]);
+    assert_eq!(turn_suspects(&turns, &table, NOW, &[1, 2, 3]), [1, 2]);
+    let unpublished = PartTable::default();
+    let last = NOW + Millis(999);
+    assert_eq!(
+        turn_suspects(&turns, &unpublished, last, &[1, 2, 3]),
+        [1, 3]
+    );
+    let over = NOW + Millis(1_000);
+    assert_eq!(
+        turn_suspects(&turns, &unpublished, over, &[1, 2, 3]),
+        [0; 0]
+    );
+}
+
+// Guards against several requests that each end an endpoint before the first end is known.
+#[test]
+fn requests_with_a_suspect_part_begin_one_after_the_other() {
+    let mut turns = Turns::default();
+    let (first, second) = (parts([1, 5]), parts([5, 7]));
+    assert_eq!(turns.wait(NOW, &first), None);
+    turns.begin(&first);
+    assert!(turns.wait(NOW, &second).is_some());
+    assert_eq!(turns.wait(NOW, &parts([7])), None);
+    // A request that has waited for long goes on beside the other one.
+    turns.begin(&second);
+    turns.end(&first);
+    assert_eq!(turns.wait(NOW, &parts([1])), None);
+    assert!(turns.wait(NOW, &parts([5])).is_some());
+    turns.end(&second);
+    assert_eq!(turns.wait(NOW, &parts([1, 5, 7])), None);
+}
+
+// Guards against a request that is sent when a run broke off, before the gateways know
+// whether its parts are to be blocked.
+#[test]
+fn no_request_with_its_suspects_is_sent_right_after_a_run_broke_off() {
+    let mut turns = Turns::default();
+    turns.record_break(NOW, ENDPOINT, &[suspect(0, 5)]);
+    assert_eq!(turns.wait(NOW, &parts([1, 5])), Some(Millis(120)));
+    assert_eq!(turns.wait(NOW, &parts([1])), None);
+    turns.record_break(NOW + Millis(50), CrashId(2), &[suspect(0, 5)]);
+    let wait = turns.wait(NOW + Millis(100), &parts([5]));
+    assert_eq!(wait, Some(Millis(70)));
+    assert_eq!(turns.wait(NOW + Millis(170), &parts([5])), None);
+}
+
+// Guards against requests that wait because of an endpoint that turned out to be alive.
+#[test]
+fn an_endpoint_that_is_alive_holds_up_no_request() {
+    let mut turns = Turns::default();
+    turns.record_break(NOW, ENDPOINT, &[suspect(0, 5), suspect(1, 6)]);
+    turns.record_break(NOW, CrashId(2), &[suspect(1, 6)]);
+    turns.acquit(ENDPOINT);
+    assert_eq!(turns.wait(NOW, &parts([5])), None);
+    assert!(turns.wait(NOW, &parts([6])).is_some());
+    let table = PartTable::default();
+    assert_eq!(turn_suspects(&turns, &table, NOW, &[5, 6]), [6]);
+}
+
+// Guards against a wait that never ends as the number of runs with a part is wrong.
+#[test]
+fn all_turns_end() {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut turns = Turns::default();
+    let mut running: Vec<Vec<PartId>> = Vec::new();
+    for _ in 0..10_000 {
+        if draw(&mut rng, 2) == 0 {
+            let suspects = parts((0..1 + draw(&mut rng, 4)).map(|n| 8 * n + draw(&mut rng, 8)));
+            turns.begin(&suspects);
+            running.push(suspects);
+        } else if !running.is_empty() {
+            let at = draw(&mut rng, running.len() as u64) as usize;
+            turns.end(&running.swap_remove(at));
+        }
+        for part in parts(0..32) {
+            let is_busy = running.iter().any(|suspects| suspects.contains(&part));
+            assert_eq!(turns.wait(NOW, &[part]).is_some(), is_busy);
+        }
+    }
+}
