--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rattanstall::clock::Millis;
 use serde::Serialize;
 
 use super::life::{EndCause, Life};
@@ -100,7 +101,7 @@
         let length = req.header("content-length").and_then(|l| l.parse().ok());
         req.body.resize(length.unwrap_or(0), 0);
         self.reader.read_exact(&mut req.body)?;
-        self.life.wait_while_silent()?;
+        self.life.wait_while_silent(self.number)?;
         Ok(Some(req))
     }
 
@@ -202,7 +203,7 @@
             return self.overflow(&answer, overflow, after);
         }
         for piece in answer.sent_pieces(&self.shared.setup.version, after) {
-            std::thread::sleep(Duration::from_millis(answer.pause_ms));
+            self.life.pause(self.number, Millis(answer.pause_ms));
             self.write_piece(&answer, &piece)?;
         }
         if answer.place != Place::Complete {
@@ -250,7 +251,7 @@
     }
 
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.life.wait_while_silent()?;
+        self.life.wait_while_silent(self.number)?;
         self.writer.write_all(bytes)?;
         let sent = &self.shared.sent_bytes;
         sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
--- a/standins/src/endpoint/life.rs
+++ b/standins/src/endpoint/life.rs
@@ -91,6 +91,12 @@
     ended: Option<EndCause>,
 }
 
+impl LifeState {
+    fn has(&self, connection: u64) -> bool {
+        self.connections.iter().any(|(n, _)| *n == connection)
+    }
+}
+
 /// A place among the runs that an endpoint processes at a time.
 pub(super) struct Slot<'a>(&'a Life);
 
@@ -144,14 +150,24 @@
         Some(Slot(self))
     }
 
-    /// Returns once the endpoint is not silent; fails if the process has ended.
-    pub(super) fn wait_while_silent(&self) -> io::Result<()> {
-        match self.wait_while(|state| state.is_silent).ended {
-            Some(_) => Err(io::ErrorKind::BrokenPipe.into()),
-            None => Ok(()),
+    /// Returns once the endpoint is not silent; fails if the connection has ended.
+    pub(super) fn wait_while_silent(&self, connection: u64) -> io::Result<()> {
+        let state = self.wait_while(|state| state.is_silent && state.has(connection));
+        match state.has(connection) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::BrokenPipe.into()),
         }
     }
 
+    /// Waits for this time, or until the connection has ended.
+    pub(super) fn pause(&self, connection: u64, time: Millis) {
+        let waiting = |state: &mut LifeState| state.has(connection);
+        let waited = self
+            .changed
+            .wait_timeout_while(self.state(), time.as_duration(), waiting);
+        drop(waited);
+    }
+
     pub(super) fn wait_while_running(&self) {
         drop(self.wait_while(|state| state.running > 0));
     }
@@ -167,6 +183,7 @@
             let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             let _ = stream.shutdown(Shutdown::Read);
         }
+        self.changed.notify_all();
     }
 
     /// Breaks all connections and refuses new ones; `false` if that was done before.
