A gateway that starts is not ready before it has read the blocked parts

Cause: configuration, registrations and the record of blocks are read from the store by separate calls.

Change: the control thread tells the traffic thread once that the blocks are known: after the first list of the fleet's keys has been read and its blocks published, or 1 s after the configuration is known, so that a store that does not answer keeps no gateway out (log event blocks.unread). Until then the gateway is not ready, and requests with shared parts that arrive all the same wait for it for 300 ms or a sixth of their time, then go on. Requests without parts do not wait. A list without a record is a reading like any other, so a first start of all gateways waits for one list, which is under way beside the others. Messages of other gateways do not count: a gateway knows them from the same list.

--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -226,6 +226,9 @@
     LearnStreams(Vec<StreamRecord>),
     /// Publish the parts that are blocked or watched to the traffic threads.
     PublishParts(PartLists),
+    /// The blocks that were recorded before the start have been published, or could not
+    /// be read in time.
+    BlocksKnown,
     /// Send [`Event::PartsChecked`] with those parts that were answered here lately.
     CheckParts {
         /// The parts.
--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod outbox;
+mod start;
 mod storage;
 
 use compact_str::{CompactString, format_compact};
@@ -18,6 +19,7 @@
 
 use exchange::Exchange;
 use outbox::Outbox;
+use start::Start;
 use storage::Storage;
 
 /// Time between two publications, so that a burst of messages costs a few only.
@@ -60,6 +62,7 @@
     outbox: Outbox,
     exchange: Exchange,
     storage: Storage,
+    start: Start,
     /// Parts in the crashes that this gateway saw, and when, sorted by part.
     reported: Vec<(PartId, Millis)>,
     /// When this or another gateway last said that a part was answered, sorted by part.
@@ -268,6 +271,7 @@
         if self.parts.has_changed && now >= self.parts.next_publication {
             self.decide_on_parts(now, out);
         }
+        self.settle_start(now, out);
         let messages = self.parts.outbox.take_due(now, self.members.count() - 1);
         out.extend(messages.into_iter().map(Effect::Broadcast));
     }
--- a/src/direct/control/parts/storage.rs
+++ b/src/direct/control/parts/storage.rs
@@ -30,6 +30,11 @@
 }
 
 impl Storage {
+    /// Whether the record has been read.
+    pub(super) fn is_read(&self) -> bool {
+        self.recorded.is_some()
+    }
+
     /// The blocks have changed.
     pub(super) fn note_change(&mut self) {
         self.has_changed = true;
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -128,6 +128,7 @@
                 self.shared.streams.learn(self.shared.now(), records);
             }
             Effect::PublishParts(lists) => self.shared.parts.publish(lists),
+            Effect::BlocksKnown => self.shared.parts.set_blocks_known(),
             Effect::CheckParts { parts, max_age } => self.check_parts(&parts, max_age),
             Effect::RecordBlocks { expected, blocks } => {
                 spawn_local(calls.clone().record_blocks(expected, blocks));
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -23,6 +23,7 @@
 use super::document::{Document, Route, Workspace};
 use super::forward::Forwarder;
 use super::job::Job;
+use super::part_table::PartTable;
 use super::quota::{Charge, charge};
 use super::refusal::{Refusal, refuse_blocked_part};
 use super::relay::respond_from_endpoint;
@@ -35,6 +36,10 @@
 /// `Retry-After` while the gateway has no configuration: it reads the first one
 /// within a few round trips to the store.
 const NO_CONFIGURATION_RETRY_AFTER: Millis = Millis(300);
+/// The longest wait of a request with parts for the blocks to be read after a start, and
+/// the share of its time that it may take.
+const MAX_BLOCKS_WAIT: Millis = Millis(300);
+const BLOCKS_WAIT_DIVISOR: u64 = 6;
 /// Time after the start of a drain from which new requests are refused. By then
 /// the load balancer has taken the process out, and a request that still arrives
 /// might not complete before the process exits.
@@ -213,6 +218,8 @@
         let request_timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
         let (parts, body) = req.into_parts();
         let body = read_body(body, document.limits.body_bytes, request_timeout).await?;
+        let max_wait = MAX_BLOCKS_WAIT.min(Millis(request_timeout.0 / BLOCKS_WAIT_DIVISOR));
+        self.wait_for_blocks(&metadata, max_wait, is_logged).await;
         // Before it counts as demand for its model.
         refuse_blocked_part(&self.shared, &metadata, is_logged)?;
         let service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
@@ -241,6 +248,29 @@
         self.send(job, charge).await
     }
 
+    /// Lets a request with shared parts wait until the blocks have been read after a
+    /// start.
+    async fn wait_for_blocks(&self, metadata: &RequestMetadata, max_wait: Millis, is_logged: bool) {
+        let table = &self.shared.parts;
+        let has_shared = PartTable::shared_parts(&metadata.parts).next().is_some();
+        if !has_shared || table.are_blocks_known() {
+            return;
+        }
+        let since = self.shared.now();
+        let waited = timeout(max_wait.as_duration(), table.wait_for_blocks()).await;
+        if is_logged {
+            journal::count_request_line();
+            journal::write(
+                "request.waited_for_blocks",
+                &[
+                    ("request", (&metadata.id).into()),
+                    ("known", waited.is_ok().into()),
+                    ("waited_ms", self.shared.now().since(since).into()),
+                ],
+            );
+        }
+    }
+
     async fn send(&self, job: Job, charge: Charge) -> Result<Response<ResponseBody>, Refusal> {
         job.log(
             "request.admitted",
--- a/src/direct/part_table.rs
+++ b/src/direct/part_table.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
+use tokio::sync::watch;
 
 use super::request::PromptPart;
 use super::suspects::PartId;
@@ -98,6 +99,8 @@
     has_blocked: AtomicBool,
     /// The same for watched parts.
     has_watched: AtomicBool,
+    /// Whether the blocks from before the start are among the lists.
+    are_blocks_known: watch::Sender<bool>,
     proofs: Mutex<Proofs>,
 }
 
@@ -107,6 +110,7 @@
             lists: ArcSwap::default(),
             has_blocked: AtomicBool::new(false),
             has_watched: AtomicBool::new(false),
+            are_blocks_known: watch::Sender::new(false),
             proofs: Mutex::new(Proofs {
                 seed: rand::random(),
                 sets: vec![[Proof::EMPTY; PROOFS_PER_SET]; PROOF_SETS],
@@ -125,6 +129,23 @@
         self.has_watched.store(has_watched, Ordering::Release);
     }
 
+    /// The lists hold the blocks from before the start, as far as they can be read.
+    pub fn set_blocks_known(&self) {
+        self.are_blocks_known.send_replace(true);
+    }
+
+    /// Whether they do.
+    pub fn are_blocks_known(&self) -> bool {
+        *self.are_blocks_known.borrow()
+    }
+
+    /// Waits until they do.
+    pub async fn wait_for_blocks(&self) {
+        let mut known = self.are_blocks_known.subscribe();
+        // Cannot fail: the sender is kept.
+        let _ = known.wait_for(|known| *known).await;
+    }
+
     /// The parts of a prompt that several prompts can share: all but the last one,
     /// which belongs to the request or its session.
     pub fn shared_parts(parts: &[PromptPart]) -> impl Iterator<Item = PartId> {
--- a/src/direct/readiness.rs
+++ b/src/direct/readiness.rs
@@ -25,14 +25,17 @@
         let view = self.shared.view();
         let has_configuration = view.document.is_some();
         let has_endpoints = !view.endpoints.is_empty();
+        let are_blocks_known = self.shared.parts.are_blocks_known();
         let is_draining = self.shared.is_draining();
-        let status = match has_configuration && has_endpoints && !is_draining {
+        let is_ready = has_configuration && has_endpoints && are_blocks_known && !is_draining;
+        let status = match is_ready {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         };
         let body = json!({
             "draining": is_draining,
             "configured": has_configuration,
+            "blocks_known": are_blocks_known,
             "endpoints": view.endpoints.len(),
         });
         json_response(status, &body)
