--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -240,6 +240,9 @@
     PublishParts(PartLists),
     /// Show operators what is known of parts.
     ShowParts(Snapshot),
+    /// The blocks that were recorded before the start have been published, or could not
+    /// be read in time.
+    BlocksKnown,
     /// Send [`Event::PartsChecked`] with those parts that were answered here lately.
     CheckParts {
         /// The parts.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -150,6 +150,7 @@
                 self.shared.parts.publish(lists);
             }
             Effect::ShowParts(known) => self.shared.set_part_evidence(known),
+            Effect::BlocksKnown => self.shared.parts.set_blocks_known(),
             Effect::CheckParts { parts, max_age } => self.check_parts(&parts, max_age),
             Effect::RecordBlocks { expected, blocks } => {
                 spawn_local(calls.clone().record_blocks(expected, blocks));
