--- a/src/direct/part_table.rs
+++ b/src/direct/part_table.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
+use tokio::sync::watch;
 
 use super::request::PromptPart;
 use super::suspects::PartId;
@@ -96,6 +97,10 @@
     lists: ArcSwap<PartLists>,
     /// Whether any part is blocked, so that most requests read nothing else.
     has_blocked: AtomicBool,
+    /// The same for watched parts.
+    has_watched: AtomicBool,
+    /// Whether the blocks from before the start are among the lists.
+    are_blocks_known: watch::Sender<bool>,
     proofs: Mutex<Proofs>,
 }
 
@@ -104,6 +109,8 @@
         Self {
             lists: ArcSwap::default(),
             has_blocked: AtomicBool::new(false),
+            has_watched: AtomicBool::new(false),
+            are_blocks_known: watch::Sender::new(false),
             proofs: Mutex::new(Proofs {
                 seed: rand::random(),
                 sets: vec![[Proof::EMPTY; PROOFS_PER_SET]; PROOF_SETS],
@@ -116,8 +123,27 @@
     /// Replaces the lists.
     pub fn publish(&self, lists: PartLists) {
         let has_blocked = !lists.blocked.is_empty();
+        let has_watched = !lists.watched.is_empty();
         self.lists.store(lists.into());
         self.has_blocked.store(has_blocked, Ordering::Release);
+        self.has_watched.store(has_watched, Ordering::Release);
+    }
+
+    /// The lists hold the blocks from before the start, as far as they can be read.
+    pub fn set_blocks_known(&self) {
+        self.are_blocks_known.send_replace(true);
+    }
+
+    /// Whether they do.
+    pub fn are_blocks_known(&self) -> bool {
+        *self.are_blocks_known.borrow()
+    }
+
+    /// Waits until they do.
+    pub async fn wait_for_blocks(&self) {
+        let mut known = self.are_blocks_known.subscribe();
+        // Cannot fail: the sender is kept.
+        let _ = known.wait_for(|known| *known).await;
     }
 
     /// The parts of a prompt that several prompts can share: all but the last one,
@@ -136,6 +162,11 @@
         Self::shared_parts(parts).find(|part| lists.blocked.binary_search(part).is_ok())
     }
 
+    /// Whether any part is watched.
+    pub fn has_watched(&self) -> bool {
+        self.has_watched.load(Ordering::Acquire)
+    }
+
     /// Whether some crash speaks against a part, or it is blocked.
     pub fn is_watched(&self, part: PartId) -> bool {
         self.lists.load().watched.binary_search(&part).is_ok()
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -45,6 +45,7 @@
         | Event::LeadershipClaimed { .. }
         | Event::LeaseHeld(_)
         | Event::LeaseLost
+        | Event::Bounds(_)
         | Event::BlockOrdered { .. }
         | Event::Drain
         | Event::Stop => Lane::Fleet,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -23,6 +23,9 @@
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
     control_wait: Histogram<f64>,
+    settings_version: Gauge<u64>,
+    settings_hash: Gauge<u64>,
+    rejected_settings: Counter<u64>,
     blocked_parts: Gauge<u64>,
 }
 
@@ -68,6 +71,18 @@
                 "rattanstall.control.wait",
                 "Time that an event waits for the control thread",
             ),
+            settings_version: meter
+                .u64_gauge("rattanstall.settings.version")
+                .with_description("Number of settings files taken since the start")
+                .build(),
+            settings_hash: meter
+                .u64_gauge("rattanstall.settings.hash")
+                .with_description("Hash of the settings file in force")
+                .build(),
+            rejected_settings: meter
+                .u64_counter("rattanstall.settings.rejected")
+                .with_description("Settings files that were not valid")
+                .build(),
             blocked_parts: meter
                 .u64_gauge("rattanstall.parts.blocked")
                 .with_description("Parts of prompts that are refused")
@@ -117,6 +132,17 @@
         self.control_wait.record(secs(waited), &[]);
     }
 
+    /// Records the settings in force.
+    pub fn set_settings_version(&self, version: u64, hash: u32) {
+        self.settings_version.record(version, &[]);
+        self.settings_hash.record(hash.into(), &[]);
+    }
+
+    /// Counts a settings file that was not valid.
+    pub fn count_rejected_settings(&self) {
+        self.rejected_settings.add(1, &[]);
+    }
+
     /// Records how many parts of prompts are refused.
     pub fn record_blocked_parts(&self, parts: usize) {
         self.blocked_parts.record(parts as u64, &[]);
