A crash counts also if the endpoint's registration was removed first

Cause: a run that broke off counted only at an endpoint that was open. Where the registration of an ended endpoint is removed at once, the store's event can come before the break: in the log of a red run `endpoint.lapsed` is written 1 ms before `request.body_ended`.

Change: an endpoint counts as leaving only if its registration said that it drains.

Test: an_endpoint_leaves_only_if_it_announced_that, red with the old condition.

--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -20,7 +20,8 @@
 use tokio::time::{sleep, timeout};
 
 pub use cases::{
-    Cases, Ended, ProgressLog, Step, Suspect, Verdict, is_dangerous, reported_parts, suspects_of,
+    Cases, Ended, ProgressLog, Step, Suspect, Verdict, is_dangerous, is_in_use, reported_parts,
+    suspects_of,
 };
 pub use turns::{Turn, Turns};
 
@@ -31,7 +32,6 @@
 use super::part_table::PartTable;
 use super::shared::Shared;
 use super::suspects::{CrashId, CrashReport, PartId, PartProgress};
-use super::view::Usability;
 use crate::clock::Millis;
 
 /// Events after which an answer has got under way.
@@ -89,7 +89,7 @@
         let now = self.shared.now();
         let id = CrashId::of_run(&run.endpoint.id, run.endpoint.started_at);
         let mut cases = self.cases.borrow_mut();
-        if !cases.is_open(now, id) && !self.is_in_use(&run.endpoint) {
+        if !cases.is_open(now, id) && !is_in_use(&self.shared.view(), &run.endpoint) {
             return None;
         }
         let suspects = suspects_of(&self.shared.parts, now, &run.parts, run.is_under_way);
@@ -108,20 +108,6 @@
         }
     }
 
-    /// Whether an endpoint is known and is not leaving.
-    fn is_in_use(&self, endpoint: &Registration) -> bool {
-        let view = self.shared.view();
-        let id = endpoint.id.as_str();
-        let found = view
-            .endpoints
-            .binary_search_by(|e| e.registration.id.as_str().cmp(id));
-        found.is_ok_and(|at| {
-            let known = &view.endpoints[at];
-            let is_same_run = known.registration.started_at == endpoint.started_at;
-            is_same_run && known.usability == Usability::Open
-        })
-    }
-
     async fn probe(self: Rc<Self>, id: CrashId, endpoint: Arc<Registration>) {
         sleep(PROBE_DELAY.as_duration()).await;
         let connecting = TcpStream::connect(endpoint.address);
--- a/src/direct/crash_watch/cases.rs
+++ b/src/direct/crash_watch/cases.rs
@@ -3,8 +3,10 @@
 use tokio::sync::watch;
 
 use crate::clock::Millis;
+use crate::direct::dialect::{EndpointState, Registration};
 use crate::direct::part_table::PartTable;
 use crate::direct::suspects::{CrashId, MAX_CRASH_PARTS, PartId};
+use crate::direct::view::View;
 
 /// How long runs that break off later count to the same crash.
 const CASE_LIFETIME: Millis = Millis(10_000);
@@ -45,6 +47,19 @@
     suspects.iter().any(|s| !table.is_repeatable(now, s.part))
 }
 
+/// Whether an endpoint is known and did not announce that it leaves. Its registration may
+/// be gone: that of an endpoint that ends can be removed before its runs break off here.
+pub fn is_in_use(view: &View, endpoint: &Registration) -> bool {
+    let id = endpoint.id.as_str();
+    let found = view
+        .endpoints
+        .binary_search_by(|e| e.registration.id.as_str().cmp(id));
+    found.is_ok_and(|at| {
+        let known = &view.endpoints[at].registration;
+        known.started_at == endpoint.started_at && known.state != EndpointState::Draining
+    })
+}
+
 /// What has to be done after a run broke off.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/tests/direct_crash_watch.rs
+++ b/tests/direct_crash_watch.rs
@@ -1,16 +1,26 @@
 //! Checks, without network, of what runs that break off say about the parts of their
 //! prompts.
 
+#[path = "support/registration.rs"]
+mod registration;
+
+use std::sync::Arc;
+
 use futures_util::FutureExt as _;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng as _};
 use rattanstall::clock::Millis;
 use rattanstall::direct::crash_watch::{
-    Cases, Ended, ProgressLog, Step, Suspect, Turns, is_dangerous, reported_parts, suspects_of,
+    Cases, Ended, ProgressLog, Step, Suspect, Turns, is_dangerous, is_in_use, reported_parts,
+    suspects_of,
 };
+use rattanstall::direct::dialect::{EndpointState, Registration};
 use rattanstall::direct::part_table::{PartLists, PartTable};
 use rattanstall::direct::request::PromptPart;
 use rattanstall::direct::suspects::{CrashId, MAX_CRASH_PARTS, PartId};
+use rattanstall::direct::view::{EndpointView, Usability, View};
+
+use registration::registration;
 
 const SEED: u64 = 27;
 const NOW: Millis = Millis(50_000);
@@ -313,3 +323,32 @@
         }
     }
 }
+
+// Guards against a crash that counts as an orderly end, so that its requests are repeated,
+// because the endpoint's registration was removed before its runs broke off.
+#[test]
+fn an_endpoint_leaves_only_if_it_announced_that() {
+    let endpoint = registration("e1", 1, &[]);
+    let view_of = |state, usability| View {
+        endpoints: vec![EndpointView {
+            registration: Arc::new(Registration {
+                state,
+                ..endpoint.clone()
+            }),
+            usability,
+            holdings: Arc::default(),
+        }],
+        ..View::default()
+    };
+    let lapsed = view_of(EndpointState::Ready, Usability::Leaving);
+    let draining = view_of(EndpointState::Draining, Usability::Leaving);
+    assert!(is_in_use(
+        &view_of(EndpointState::Ready, Usability::Open),
+        &endpoint
+    ));
+    assert!(is_in_use(&lapsed, &endpoint));
+    assert!(!is_in_use(&draining, &endpoint));
+    assert!(!is_in_use(&View::default(), &endpoint));
+    let earlier_run = registration("e1", 0, &[]);
+    assert!(!is_in_use(&lapsed, &earlier_run));
+}
