--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -13,6 +13,10 @@
 mod block;
 mod score;
 
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -38,8 +42,8 @@
 const ORIGIN: Millis = Millis(30 * 24 * 3_600_000);
 /// The most crashes that are kept.
 const MAX_CRASHES: usize = 512;
-/// The most parts of one crash that are kept, so that its report fits a datagram.
-pub const MAX_CRASH_PARTS: usize = 96;
+/// The most parts of one crash that are kept.
+pub const MAX_CRASH_PARTS: usize = 128;
 /// The most groups of parts that one decision blocks.
 const MAX_ROUNDS: usize = 16;
 /// The most parts whose progress is kept.
@@ -50,6 +54,21 @@
 #[serde(transparent)]
 pub struct PartId(pub u64);
 
+/// Sixteen hexadecimal digits, as in logs and commands.
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Identifies one run of an endpoint that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,7 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
@@ -23,6 +23,10 @@
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
     control_wait: Histogram<f64>,
+    settings_version: Gauge<u64>,
+    settings_hash: Gauge<u64>,
+    rejected_settings: Counter<u64>,
+    blocked_parts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -67,6 +71,22 @@
                 "rattanstall.control.wait",
                 "Time that an event waits for the control thread",
             ),
+            settings_version: meter
+                .u64_gauge("rattanstall.settings.version")
+                .with_description("Number of settings files taken since the start")
+                .build(),
+            settings_hash: meter
+                .u64_gauge("rattanstall.settings.hash")
+                .with_description("Hash of the settings file in force")
+                .build(),
+            rejected_settings: meter
+                .u64_counter("rattanstall.settings.rejected")
+                .with_description("Settings files that were not valid")
+                .build(),
+            blocked_parts: meter
+                .u64_gauge("rattanstall.parts.blocked")
+                .with_description("Parts of prompts that are refused")
+                .build(),
             registry,
             provider,
         })
@@ -112,6 +132,22 @@
         self.control_wait.record(secs(waited), &[]);
     }
 
+    /// Records the settings in force.
+    pub fn set_settings_version(&self, version: u64, hash: u32) {
+        self.settings_version.record(version, &[]);
+        self.settings_hash.record(hash.into(), &[]);
+    }
+
+    /// Counts a settings file that was not valid.
+    pub fn count_rejected_settings(&self) {
+        self.rejected_settings.add(1, &[]);
+    }
+
+    /// Records how many parts of prompts are refused.
+    pub fn record_blocked_parts(&self, parts: usize) {
+        self.blocked_parts.record(parts as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
