--- a/standins/src/bin/rattanstall-experiment/main.rs
+++ b/standins/src/bin/rattanstall-experiment/main.rs
@@ -5,6 +5,7 @@
 mod leader;
 mod limits;
 mod overload;
+mod parts;
 mod slopes;
 mod soak;
 mod streams;
@@ -17,7 +18,7 @@
     let options = [
         (
             "name",
-            "the experiment: answer, leader, limits, overload, slopes, soak, streams",
+            "the experiment: answer, leader, limits, overload, parts, slopes, soak, streams",
         ),
         ("seed", "seed of arrivals and failures (default 1)"),
         ("minutes", "real time of a soak (default 1)"),
@@ -40,6 +41,7 @@
         "leader" => leader::run(),
         "limits" => limits::run(seed, seconds),
         "overload" => overload::run(seed, seconds),
+        "parts" => parts::run(seed, seconds),
         "soak" => {
             let minutes = value(&args, "minutes", 1.0);
             if let Err(violation) = soak::run(value(&args, "seed", random_seed), minutes) {
@@ -51,8 +53,8 @@
         "streams" => streams::run(),
         other => {
             eprintln!(
-                "--name: \"{other}\" is unknown; allowed: answer, leader, limits, overload, slopes, \
-                 soak, streams"
+                "--name: \"{other}\" is unknown; allowed: answer, leader, limits, overload, parts, \
+                 slopes, soak, streams"
             );
             return ExitCode::from(2);
         }
