--- a/standins/src/bin/rattanstall-experiment/parts/gateway.rs
+++ b/standins/src/bin/rattanstall-experiment/parts/gateway.rs
@@ -15,6 +15,8 @@
 
 /// Rows that are queued within this time go together.
 const SEND_GAP: u64 = 10;
+/// Time between two publications of the lists.
+const PUBLISH_INTERVAL: u64 = 10;
 /// How often each row is sent, because datagrams get lost.
 const SENDS: u64 = 3;
 const REPEAT_DELAY: u64 = 20;
@@ -43,6 +45,8 @@
     flushed: u64,
     is_flush_due: bool,
     is_decision_due: bool,
+    next_publication: u64,
+    is_publication_due: bool,
     last_seen: Option<u64>,
     /// When progress with a part was last told, by this gateway or another.
     told: BTreeMap<PartId, u64>,
@@ -62,6 +66,8 @@
             flushed: 0,
             is_flush_due: false,
             is_decision_due: false,
+            next_publication: 0,
+            is_publication_due: false,
             last_seen: None,
             told: BTreeMap::new(),
             blocked_since: BTreeMap::new(),
@@ -263,7 +269,11 @@
 
     fn changed(&mut self, at: usize) {
         let gateway = &mut self.gateways[at];
-        gateway.publish(self.now, &mut self.outcome);
+        if !std::mem::replace(&mut gateway.is_publication_due, true) {
+            let delay = gateway.next_publication.saturating_sub(self.now);
+            self.schedule(delay, Event::Publish(at));
+        }
+        let gateway = &mut self.gateways[at];
         if !std::mem::replace(&mut gateway.is_decision_due, true) {
             let is_keeper = self.scenario.design == Design::Keepers;
             let is_witness = is_keeper || gateway.last_seen.is_some_and(|t| self.now - t < 10_000);
@@ -272,6 +282,14 @@
         }
     }
 
+    /// Publishes the lists, so that a burst of messages costs a few publications only.
+    pub(super) fn publish(&mut self, at: usize) {
+        let gateway = &mut self.gateways[at];
+        gateway.is_publication_due = false;
+        gateway.next_publication = self.now + PUBLISH_INTERVAL;
+        gateway.publish(self.now, &mut self.outcome);
+    }
+
     pub(super) fn decide(&mut self, at: usize) {
         let gateway = &mut self.gateways[at];
         gateway.is_decision_due = false;
--- a/standins/src/bin/rattanstall-experiment/parts/world.rs
+++ b/standins/src/bin/rattanstall-experiment/parts/world.rs
@@ -68,6 +68,7 @@
     /// A gateway says that it has seen parts answered, unless others have.
     Answered(usize, Vec<PartId>),
     Decide(usize),
+    Publish(usize),
 }
 
 struct Run {
@@ -208,6 +209,7 @@
             Event::Received(gateway, news) => self.receive(gateway, &news),
             Event::Answered(gateway, parts) => self.answered(gateway, &parts),
             Event::Decide(gateway) => self.decide(gateway),
+            Event::Publish(gateway) => self.publish(gateway),
         }
     }
 
