Gateways and agents neither wait for nor end with the reader of their log

Cause: the logger writes to standard error on the thread that logs. If the reader is gone, its error message goes to standard error as well, and that panics: the gateway ended with code 101. If the reader stops reading, the gateway waits for ever before it serves.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,24 +1,30 @@
 //! Starts logging.
 
+mod buffered;
+
 use flexi_logger::writers::LogWriter;
-use flexi_logger::{DeferredNow, Logger, LoggerHandle, Record, detailed_format, json_format};
+use flexi_logger::{
+    DeferredNow, FormatFunction, Logger, LoggerHandle, Record, detailed_format, json_format,
+};
 
 use crate::error::{Error, Result};
 use crate::journal;
 use crate::settings::LogSettings;
 use crate::signals::Action;
 
-/// Starts logging to standard error. The handle must live as long as the process.
+use buffered::BufferedStderr;
+
+/// Starts logging to standard error. A reader that stops reading blocks no request. The handle must live as long as the process.
 pub fn start(settings: &LogSettings) -> Result<LoggerHandle> {
-    let format = match settings.json {
+    let format: FormatFunction = match settings.json {
         true => json_format,
         false => detailed_format,
     };
     let spec = format!("warn, rattanstall={}", settings.level);
+    let writer = BufferedStderr::start(format).map_err(log_error)?;
     Logger::try_with_str(spec)
         .map_err(log_error)?
-        .format(format)
-        .log_to_stderr()
+        .log_to_writer(Box::new(writer))
         .start()
         .map_err(log_error)
 }
--- a/standins/tests/signals.rs
+++ b/standins/tests/signals.rs
@@ -1,8 +1,9 @@
 //! Sends signals to gateways and agents and checks that open responses are complete.
 
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus};
-use std::time::Duration;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use rattanstall::config::Document;
@@ -157,3 +158,52 @@
     });
     let _ = std::fs::remove_file(file);
 }
+
+/// Starts a gateway of a fleet again with its log connected to this, and stops it.
+async fn check_that_a_gateway_serves_and_stops(log: Stdio) {
+    let (mut fleet, _) = start().await;
+    fleet.gateways[0].kill();
+    let settings = fleet.dir().join("gw-0.toml");
+    let program = program_dir()
+        .expect("a directory")
+        .join("rattanstall-gateway");
+    let mut command = Command::new(program);
+    let process = command.arg("--settings").arg(settings).stderr(log).spawn();
+    let process = process.expect("the program starts");
+    let name = "rattanstall-gateway";
+    let mut program = Program { name, process };
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let is_up = async || {
+        // A gateway that waits for its log accepts and never responds.
+        let state = tokio::time::timeout(Duration::from_secs(2), fleet.gateways[0].state());
+        matches!(state.await, Ok(Some(_)))
+    };
+    while !is_up().await {
+        assert!(Instant::now() < deadline, "it does not serve");
+        assert_eq!(program.process.try_wait().expect("a child process"), None);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut ended = program.signal(Signal::TERM);
+    while ended.is_none() {
+        assert!(Instant::now() < deadline, "it does not stop");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        ended = program.process.try_wait().expect("a child process");
+    }
+    assert_eq!(ended.and_then(|status| status.code()), Some(0));
+}
+
+// Guards against a gateway that ends because nobody reads its log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_serves_with_a_closed_log() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    check_that_a_gateway_serves_and_stops(writer.into()).await;
+}
+
+// Guards against a gateway that waits for a reader of its log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_serves_with_a_full_log() {
+    let (_reader, mut writer) = std::io::pipe().expect("a pipe");
+    writer.write_all(&[b'.'; 64 << 10]).expect("filled");
+    check_that_a_gateway_serves_and_stops(writer.into()).await;
+}
