--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -86,6 +86,7 @@
             return false;
         }
         self.has_changed = true;
+        self.exchange.note_news(now);
         let (first, _) = self.undecided.unwrap_or((now, now));
         self.undecided = Some((first, now));
         true
@@ -333,6 +334,7 @@
             log_blocks(&self.parts.lists, &lists, &evidence.blocks(now));
         }
         self.parts.lists = lists.clone();
+        self.parts.exchange.note_news(now);
         out.push(Effect::PublishParts(lists));
     }
 }
--- a/src/direct/control/parts/exchange.rs
+++ b/src/direct/control/parts/exchange.rs
@@ -9,6 +9,11 @@
 
 /// Interval at which a gateway tells a few others all that it knows.
 const EXCHANGE_INTERVAL: Millis = Millis(500);
+/// The same when nothing has been learned for [`NEWS_TIME`]: a gateway that has been away
+/// is told anyway.
+const QUIET_INTERVAL: Millis = Millis(10_000);
+/// How long what was learned last may not have reached all gateways.
+const NEWS_TIME: Millis = Millis(30_000);
 /// Number of gateways that are told each time.
 const EXCHANGE_PEERS: usize = 3;
 /// The most datagrams to each of them; the rest follows with the next time.
@@ -21,6 +26,8 @@
 pub(super) struct Exchange {
     /// When the next gateways are told; `None` while there is nothing to tell.
     next: Option<Millis>,
+    /// When this gateway last learned something.
+    learned_at: Millis,
     /// Number of gateways that have been told; rotates them.
     told: usize,
     /// Number of messages that have been sent to a gateway in turn; rotates them.
@@ -29,6 +36,22 @@
     hears_majority: bool,
 }
 
+impl Exchange {
+    /// Tells the others more often for a while.
+    pub(super) fn note_news(&mut self, now: Millis) {
+        self.learned_at = now;
+        let soon = now + EXCHANGE_INTERVAL;
+        self.next = self.next.map(|at| at.min(soon));
+    }
+
+    fn interval(&self, now: Millis) -> Millis {
+        match now.since(self.learned_at) < NEWS_TIME {
+            true => EXCHANGE_INTERVAL,
+            false => QUIET_INTERVAL,
+        }
+    }
+}
+
 impl Control {
     /// Tells the next gateways in turn what this one knows.
     pub(super) fn exchange_parts(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -44,7 +67,7 @@
         }
         let all = self.snapshot_messages(now);
         let exchange = &mut self.parts.exchange;
-        exchange.next = Some(now + EXCHANGE_INTERVAL);
+        exchange.next = Some(now + exchange.interval(now));
         let count = all.len().min(MAX_EXCHANGE_DATAGRAMS);
         let from = exchange.sent;
         exchange.sent += count;
--- a/tests/direct_part_exchange.rs
+++ b/tests/direct_part_exchange.rs
@@ -15,7 +15,7 @@
 use rattanstall::direct::block_record;
 use rattanstall::direct::suspects::{Block, BlockCause, BlockState, Evidence, PartId};
 
-use part_fleet::PartFleet;
+use part_fleet::{Counts, PartFleet};
 
 /// Ends every endpoint that begins to answer it.
 const BAD: PartId = PartId(0xbad);
@@ -398,3 +398,20 @@
     assert_eq!(decoded, [block]);
     assert!(block_record::decode(Millis(70_000), b"{").is_err());
 }
+
+/// Guards against gateways that tell each other the same evidence twice a second as long
+/// as it counts, which is a day.
+#[test]
+fn gateways_that_learn_nothing_new_exchange_little() {
+    const GATEWAYS: u64 = 22;
+    let mut fleet = PartFleet::new(27, GATEWAYS as usize, LOSS);
+    crash_three_times(&mut fleet);
+    fleet.run(Millis(60_000));
+    fleet.exchanged = Counts::default();
+    fleet.run(Millis(20_000));
+    // Each tells three others at most three times in 20 s.
+    let told = fleet.exchanged.blocks;
+    assert!((1..=GATEWAYS * 9).contains(&told), "{told} times");
+    let differing = fleet.differing(&[BAD]);
+    assert!(differing.is_empty(), "{differing:?}");
+}
