An answer that breaks off in order between events clears no part

Cause: the end of an answer without length and chunks counted as progress once it had brought an event, so an endpoint that ended in order after one to three events cleared the part that had ended it, and lifted its block. Found by reading. Such an end is now evidence only after the events that count as under way; before, a run with suspects is treated as broken off and its endpoint probed.

The stand-in endpoint can end after some events, with any framing.

--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -198,9 +198,12 @@
     /// [`Self::record_break`] does if it may have broken off before its first event.
     pub fn record_end(&mut self, body: &BodyProgress) -> Option<Verdict> {
         match body.end() {
-            BodyEnd::Unknown if body.is_empty() => return self.record_break(),
-            BodyEnd::Unknown if body.events() > 0 => self.record_progress(),
             BodyEnd::Complete => self.record_progress(),
+            // A process that ends closes its connections in order as well.
+            BodyEnd::Unknown if body.is_empty() => return self.record_break(),
+            BodyEnd::Unknown if body.events() > 0 && self.has_suspects() => {
+                return self.record_break();
+            }
             BodyEnd::Unknown | BodyEnd::Broken(_) => {}
         }
         None
@@ -212,6 +215,11 @@
         self.watch.record_break(self)
     }
 
+    fn has_suspects(&self) -> bool {
+        let shared = &self.watch.shared;
+        !suspects_of(&shared.parts, shared.now(), &self.parts, self.is_under_way).is_empty()
+    }
+
     fn record_progress(&mut self) {
         if self.is_success && !std::mem::replace(&mut self.is_under_way, true) {
             self.watch.record_progress(&self.parts);
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -107,6 +107,8 @@
     /// The answer to all requests, also to those that name one.
     forced_answer: Mutex<Option<Answer>>,
     crashing_parts: Mutex<Vec<u64>>,
+    /// Events that an answer under which the process ends brings, and its framing.
+    crash_shape: Mutex<Option<(usize, Framing)>>,
     life: Mutex<Option<Arc<Life>>>,
     lives: Mutex<Vec<LifeRecord>>,
 }
@@ -170,6 +172,7 @@
             sent_bytes: AtomicU64::new(0),
             forced_answer: Mutex::default(),
             crashing_parts: Mutex::default(),
+            crash_shape: Mutex::default(),
             life: Mutex::default(),
             lives: Mutex::default(),
         });
@@ -202,6 +205,12 @@
         *lock(&self.shared.crashing_parts) = parts.to_vec();
     }
 
+    /// Sets how many events an answer brings before the process ends under it, and its
+    /// framing; otherwise it brings none and has the framing of other answers.
+    pub fn set_crash_shape(&self, events: usize, framing: Framing) {
+        *lock(&self.shared.crash_shape) = Some((events, framing));
+    }
+
     /// Ends its process; connections are refused until it is back.
     pub fn crash(&self) {
         self.end(EndCause::Fault);
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -11,7 +11,7 @@
 use super::life::{EndCause, Life};
 use super::{
     ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Outcome, Overflow, Place,
-    ReceivedRequest, Shared,
+    ReceivedRequest, Shared, lock,
 };
 
 /// Size of the pieces of bytes that never end.
@@ -179,7 +179,12 @@
     fn run(&mut self, req: &Request, crashing_part: Option<u64>) -> io::Result<Next> {
         let named = req.header(ANSWER_HEADER);
         let named = named.and_then(|text| serde_json::from_str(text).ok());
-        let answer = self.shared.answer_to(named);
+        let mut answer = self.shared.answer_to(named);
+        let shape = *lock(&self.shared.crash_shape);
+        let shape = shape.filter(|_| crashing_part.is_some());
+        if let Some((_, framing)) = shape {
+            answer.framing = framing;
+        }
         let after = req.header("last-event-id").and_then(|id| id.parse().ok());
         let after = after.unwrap_or(0);
         let head = self.head(req, &answer, after);
@@ -196,6 +201,11 @@
         if let Some(part) = crashing_part {
             let lifecycle = &self.shared.setup.lifecycle;
             std::thread::sleep(lifecycle.crash_delay.as_duration());
+            let events = shape.map_or(0, |(events, _)| events);
+            let pieces = answer.pieces(&self.shared.setup.version, after);
+            for piece in pieces.into_iter().take(events) {
+                self.write_piece(&answer, &piece)?;
+            }
             self.shared.end_life(self.life, EndCause::Part(part));
             return Err(io::ErrorKind::BrokenPipe.into());
         }
