Turns: the pause after a break covers the decision and its publication

It was as long as the time that crashes have to span, so a waiting request went out before the next tick had blocked its part. The test of the pause holds the new bounds; its values changed with the constant.

--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -46,8 +46,8 @@
 /// Number of gateways above which those that saw a part answered wait before they say
 /// so, until one of the others has.
 const MAX_PROMPT_ANSWERS: usize = 64;
-/// How long they wait at most. Crashes at about the same time are judged after
-/// 100 ms, so the answers have to be there by then.
+/// How long they wait at most. Crashes at about the same time are judged after 120 ms,
+/// so the answers have to be there by then.
 const ANSWER_WINDOW: Millis = Millis(30);
 /// The most parts that are remembered from own reports.
 const MAX_REPORTED_PARTS: usize = 4_096;
--- a/src/direct/control/parts/outbox.rs
+++ b/src/direct/control/parts/outbox.rs
@@ -22,7 +22,7 @@
 /// Datagrams of the burst that are kept for rows that have not been sent yet.
 const RESERVED_FOR_NEW: u64 = 4;
 /// How often a row is sent, and the delay between two times. Crashes at about the same
-/// time are judged after 100 ms, so all have to be sent by then.
+/// time are judged after 120 ms, so all have to be sent by then.
 const SENDS: u8 = 3;
 const REPEAT_DELAY: Millis = Millis(20);
 /// The most rows of one kind that wait. The periodic exchange delivers others.
--- a/src/direct/crash_watch/turns.rs
+++ b/src/direct/crash_watch/turns.rs
@@ -15,9 +15,9 @@
 /// Sound requests are delayed by this much at most while one of their parts is suspect.
 const MAX_TURN_WAIT: Millis = Millis(300);
 const TURN_WAIT_DIVISOR: u64 = 6;
-/// How long no request with its suspects is sent after a run broke off. By then all
-/// gateways know of the crash and have decided. Crashes that follow sooner say little.
-const BREAK_PAUSE: Millis = Millis(120);
+/// How long no request with its suspects is sent after a run broke off. It covers the time
+/// until a crash counts in full, the next tick and the publication of what follows.
+const BREAK_PAUSE: Millis = Millis(200);
 /// How long the parts of a run that broke off are suspects here even if the control
 /// thread has not published them.
 const SUSPICION_LIFETIME: Millis = Millis(1_000);
--- a/tests/direct_crash_watch.rs
+++ b/tests/direct_crash_watch.rs
@@ -281,12 +281,13 @@
 fn no_request_with_its_suspects_is_sent_right_after_a_run_broke_off() {
     let mut turns = Turns::default();
     turns.record_break(NOW, ENDPOINT, &[suspect(0, 5)]);
-    assert_eq!(turns.wait(NOW, &parts([1, 5])), Some(Millis(120)));
+    assert_eq!(turns.wait(NOW, &parts([1, 5])), Some(Millis(200)));
     assert_eq!(turns.wait(NOW, &parts([1])), None);
     turns.record_break(NOW + Millis(50), CrashId(2), &[suspect(0, 5)]);
     let wait = turns.wait(NOW + Millis(100), &parts([5]));
-    assert_eq!(wait, Some(Millis(70)));
-    assert_eq!(turns.wait(NOW + Millis(170), &parts([5])), None);
+    assert_eq!(wait, Some(Millis(150)));
+    assert!(turns.wait(NOW + Millis(249), &parts([5])).is_some());
+    assert_eq!(turns.wait(NOW + Millis(250), &parts([5])), None);
 }
 
 // Guards against requests that wait because of an endpoint that turned out to be alive.
