Requests that waited for an endpoint take their turn after the wait

They took it before, and a request held it while it waited up to 2.6 s for a model; those behind it went on after 300 ms, and all were sent together to the first endpoint that came. Found by reading; no test shows it by itself.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -103,13 +103,6 @@
         // A server error is passed to the caller if no later attempt succeeds.
         let mut failure = None;
         while history.attempted.len() < MAX_ATTEMPTS {
-            let turn = match self.wait_for_turn(job).await {
-                Ok(turn) => turn,
-                Err(refusal) => {
-                    last = refusal;
-                    break;
-                }
-            };
             let is_retry = !history.attempted.is_empty();
             if is_retry && !self.try_take_retry(job) {
                 break;
@@ -119,6 +112,14 @@
                 Err(_) if is_retry => break,
                 Err(refusal) => return Err(refusal),
             };
+            // After the wait: all that waited would be sent together.
+            let turn = match self.wait_for_turn(job).await {
+                Ok(turn) => turn,
+                Err(refusal) => {
+                    last = refusal;
+                    break;
+                }
+            };
             history.attempted.push(key);
             let last_event_id = resume.last_event_id.as_deref();
             match self.attempt(job, key, last_event_id, turn).await {
