A request under which a leaving endpoint ended isn't sent to the next one at once

Breaks at an endpoint that drains, or is no longer known, left no case: no probe, no pause, no verdict, so the repeat or resume went out immediately. Now the endpoint is probed there as well; its end is not reported, as it would have ended anyway. Found by reading; shown on the cases, not with processes. The calls of record_break in the tests got the new argument.

--- a/src/direct/crash_watch/cases.rs
+++ b/src/direct/crash_watch/cases.rs
@@ -47,8 +47,9 @@
     suspects.iter().any(|s| !table.is_repeatable(now, s.part))
 }
 
-/// Whether an endpoint is known and did not announce that it leaves. Its registration may
-/// be gone: that of an endpoint that ends can be removed before its runs break off here.
+/// Whether the end of an endpoint counts as a crash: it is known and did not announce that
+/// it leaves. Its registration may have lapsed, which can happen before its runs break off
+/// here.
 pub fn is_in_use(view: &View, endpoint: &Registration) -> bool {
     let id = endpoint.id.as_str();
     let found = view
@@ -65,7 +66,7 @@
 pub enum Step {
     /// Find out whether the endpoint has ended.
     Probe,
-    /// Somebody is about to find out.
+    /// Nothing: somebody is about to find out, or the crash does not count.
     Wait,
     /// The endpoint has ended: report these suspects, unless there are none.
     Report(Ended),
@@ -96,6 +97,7 @@
 struct Case {
     id: CrashId,
     since: Millis,
+    is_counted: bool,
     has_ended: watch::Sender<Option<bool>>,
     suspects: Vec<Suspect>,
 }
@@ -112,8 +114,15 @@
         found.is_ok_and(|at| now.since(self.0[at].since) < CASE_LIFETIME)
     }
 
-    /// Adds the suspects of a run that broke off.
-    pub fn record_break(&mut self, now: Millis, id: CrashId, suspects: &[Suspect]) -> Step {
+    /// Adds the suspects of a run that broke off. Whether the crash counts, so that it is
+    /// reported, is decided by the first one.
+    pub fn record_break(
+        &mut self,
+        now: Millis,
+        id: CrashId,
+        suspects: &[Suspect],
+        is_counted: bool,
+    ) -> Step {
         self.0.retain(|case| now.since(case.since) < CASE_LIFETIME);
         let at = match self.find(id) {
             Ok(at) => at,
@@ -121,6 +130,7 @@
                 let case = Case {
                     id,
                     since: now,
+                    is_counted,
                     has_ended: watch::Sender::new(None),
                     suspects: suspects.to_vec(),
                 };
@@ -133,14 +143,17 @@
             case.suspects.extend_from_slice(suspects);
             return Step::Wait;
         }
+        if !case.is_counted {
+            return Step::Wait;
+        }
         Step::Report(Ended {
             since: case.since,
             suspects: suspects.to_vec(),
         })
     }
 
-    /// Records the result of a probe. Returns what to report if the endpoint has ended;
-    /// otherwise the case is closed.
+    /// Records the result of a probe. Returns what to report if the endpoint has ended and
+    /// counts; if it is alive, the case is closed.
     pub fn conclude(&mut self, id: CrashId, has_ended: bool) -> Option<Ended> {
         let at = self.find(id).ok()?;
         self.0[at].has_ended.send_replace(Some(has_ended));
@@ -149,7 +162,7 @@
             return None;
         }
         let case = &mut self.0[at];
-        Some(Ended {
+        case.is_counted.then(|| Ended {
             since: case.since,
             suspects: std::mem::take(&mut case.suspects),
         })
--- a/tests/direct_crash_watch.rs
+++ b/tests/direct_crash_watch.rs
@@ -80,13 +80,13 @@
 fn one_probe_decides_for_all_runs_that_break_off_meanwhile() {
     let mut cases = Cases::default();
     assert!(!cases.is_open(NOW, ENDPOINT));
-    let first = cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)]);
+    let first = cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)], true);
     assert_eq!(first, Step::Probe);
     assert!(cases.is_open(NOW, ENDPOINT));
-    let other = cases.record_break(NOW + Millis(1), CrashId(2), &[suspect(0, 9)]);
+    let other = cases.record_break(NOW + Millis(1), CrashId(2), &[suspect(0, 9)], true);
     assert_eq!(other, Step::Probe);
     for part in 2..5 {
-        let step = cases.record_break(NOW + Millis(2), ENDPOINT, &[suspect(0, part)]);
+        let step = cases.record_break(NOW + Millis(2), ENDPOINT, &[suspect(0, part)], true);
         assert_eq!(step, Step::Wait);
     }
     let ended = cases.conclude(ENDPOINT, true).expect("an end");
@@ -95,7 +95,7 @@
         (NOW, vec![1, 2, 3, 4])
     );
     // Whatever breaks off later is reported by itself, as part of the same crash.
-    let late = cases.record_break(NOW + Millis(400), ENDPOINT, &[suspect(1, 7)]);
+    let late = cases.record_break(NOW + Millis(400), ENDPOINT, &[suspect(1, 7)], true);
     let expected = Ended {
         since: NOW,
         suspects: vec![suspect(1, 7)],
@@ -110,12 +110,12 @@
     let mut cases = Cases::default();
     for round in 0..3 {
         let now = NOW + Millis(round);
-        let step = cases.record_break(now, ENDPOINT, &[suspect(0, round)]);
+        let step = cases.record_break(now, ENDPOINT, &[suspect(0, round)], true);
         assert_eq!(step, Step::Probe);
         assert_eq!(cases.conclude(ENDPOINT, false), None);
         assert!(!cases.is_open(now, ENDPOINT));
     }
-    cases.record_break(NOW, ENDPOINT, &[suspect(0, 8)]);
+    cases.record_break(NOW, ENDPOINT, &[suspect(0, 8)], true);
     let ended = cases.conclude(ENDPOINT, true).expect("an end");
     assert_eq!(names(&ended.suspects), [8]);
 }
@@ -125,7 +125,7 @@
 #[test]
 fn a_crash_without_suspects_is_reported() {
     let mut cases = Cases::default();
-    assert_eq!(cases.record_break(NOW, ENDPOINT, &[]), Step::Probe);
+    assert_eq!(cases.record_break(NOW, ENDPOINT, &[], true), Step::Probe);
     let ended = cases.conclude(ENDPOINT, true).expect("an end");
     assert_eq!(ended.suspects, []);
 }
@@ -134,11 +134,11 @@
 #[test]
 fn old_cases_are_dropped() {
     let mut cases = Cases::default();
-    cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)]);
+    cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)], true);
     assert!(cases.is_open(NOW + Millis(9_999), ENDPOINT));
     let later = NOW + Millis(10_000);
     assert!(!cases.is_open(later, ENDPOINT));
-    cases.record_break(later, CrashId(2), &[]);
+    cases.record_break(later, CrashId(2), &[], true);
     assert_eq!(cases.conclude(ENDPOINT, true), None);
 }
 
@@ -203,7 +203,7 @@
     for has_ended in [true, false] {
         let mut cases = Cases::default();
         assert!(cases.verdict(ENDPOINT).is_none());
-        cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)]);
+        cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)], true);
         let verdict = cases.verdict(ENDPOINT).expect("a probe");
         assert_eq!(verdict.clone().has_ended().now_or_never(), None);
         cases.conclude(ENDPOINT, has_ended);
@@ -353,3 +353,18 @@
     let earlier_run = registration("e1", 0, &[]);
     assert!(!is_in_use(&lapsed, &earlier_run));
 }
+
+// Guards against a request that is sent to the next endpoint at once because the one that
+// it ended was about to leave, and against the end of one that leaves as evidence.
+#[tokio::test]
+async fn the_end_of_an_endpoint_that_leaves_is_known_but_not_reported() {
+    let mut cases = Cases::default();
+    let step = cases.record_break(NOW, ENDPOINT, &[suspect(0, 1)], false);
+    assert_eq!(step, Step::Probe);
+    let verdict = cases.verdict(ENDPOINT).expect("a case");
+    assert_eq!(cases.conclude(ENDPOINT, true), None);
+    assert!(verdict.has_ended().await);
+    let later = cases.record_break(NOW + Millis(5), ENDPOINT, &[suspect(0, 2)], true);
+    assert_eq!(later, Step::Wait);
+    assert!(cases.verdict(ENDPOINT).expect("a case").has_ended().await);
+}
