Probe an endpoint again that still accepts right after runs broke off there

A process that ends may close its listener last, or be started again at once; one probe 5 ms after the first break then took it for alive. It is probed once more after 50 ms if the broken runs left suspects. Found by reading; no test shows it.

--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -10,6 +10,7 @@
 
 use std::cell::RefCell;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -40,6 +41,9 @@
 /// one after the other. Most of the other runs break off meanwhile, and one report
 /// covers them.
 const PROBE_DELAY: Millis = Millis(5);
+/// Time after which an endpoint that accepted the probe is probed again: its listener may
+/// have been closed last.
+const SECOND_PROBE_DELAY: Millis = Millis(50);
 /// Time limit for the probe's connection: a few round trips between zones.
 const PROBE_TIMEOUT: Millis = Millis(300);
 
@@ -109,18 +113,12 @@
 
     async fn probe(self: Rc<Self>, id: CrashId, endpoint: Arc<Registration>) {
         sleep(PROBE_DELAY.as_duration()).await;
-        let connecting = TcpStream::connect(endpoint.address);
-        let connected = timeout(PROBE_TIMEOUT.as_duration(), connecting).await;
-        // Without an answer, the network may be at fault.
-        let has_ended = connected.is_ok_and(|connected| {
-            connected.is_err_and(|error| {
-                let kind = error.kind();
-                matches!(
-                    kind,
-                    ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-                )
-            })
-        });
+        let mut found = probe_once(endpoint.address).await;
+        if found == Probed::Alive && self.cases.borrow().has_suspects(id) {
+            sleep(SECOND_PROBE_DELAY.as_duration()).await;
+            found = probe_once(endpoint.address).await;
+        }
+        let has_ended = found == Probed::Ended;
         if !has_ended {
             self.turns.borrow_mut().acquit(id);
             self.turn_ended.notify_waiters();
@@ -163,6 +161,27 @@
     }
 }
 
+/// What a connection to an endpoint shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probed {
+    Alive,
+    Ended,
+    /// There was no answer; the network may be at fault.
+    Unknown,
+}
+
+async fn probe_once(address: SocketAddr) -> Probed {
+    let connecting = TcpStream::connect(address);
+    match timeout(PROBE_TIMEOUT.as_duration(), connecting).await {
+        Ok(Ok(_)) => Probed::Alive,
+        Ok(Err(error)) => match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Probed::Ended,
+            _ => Probed::Unknown,
+        },
+        Err(_) => Probed::Unknown,
+    }
+}
+
 /// A run of one request at one endpoint. Dropped, it is over without any evidence.
 pub struct WatchedRun {
     watch: Rc<CrashWatch>,
--- a/src/direct/crash_watch/cases.rs
+++ b/src/direct/crash_watch/cases.rs
@@ -168,6 +168,12 @@
         })
     }
 
+    /// Whether runs that broke off there before their answers got under way left suspects.
+    pub fn has_suspects(&self, id: CrashId) -> bool {
+        let found = self.find(id);
+        found.is_ok_and(|at| !self.0[at].suspects.is_empty())
+    }
+
     /// Tells whether the endpoint has ended, if something broke off there.
     pub fn verdict(&self, id: CrashId) -> Option<Verdict> {
         let at = self.find(id).ok()?;
