A control thread that cannot start stops the process

Its error was dropped, and only a panic counted as a failure, so a process without a runtime for it would have stayed, never ready. Found by reading; no test shows it.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -136,7 +136,10 @@
         .name("control".to_owned())
         .spawn(move || {
             let _watched = watched.watch("control");
-            driver::run(control, events, queue, &watched)
+            if let Err(error) = driver::run(control, events, queue, &watched) {
+                log::error!("{error}");
+                watched.fail("control");
+            }
         })
         .map_err(|e| Error::io("starting the control thread", e))?;
     // Bound before the readiness port, so that the load balancer sends no
--- a/src/direct/supervision.rs
+++ b/src/direct/supervision.rs
@@ -53,6 +53,11 @@
         Watched { supervisor, part }
     }
 
+    /// Reports a part as failed.
+    pub(super) fn fail(&self, part: &'static str) {
+        self.failed.send_replace(Some(part));
+    }
+
     /// Spawns a task on the current thread whose panic is a failure of the process.
     pub(super) fn spawn(
         &self,
@@ -82,7 +87,7 @@
 impl Drop for Watched {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            self.supervisor.failed.send_replace(Some(self.part));
+            self.supervisor.fail(self.part);
         }
     }
 }
