--- a/src/logs.rs
+++ b/src/logs.rs
@@ -14,7 +14,8 @@
 
 use buffered::BufferedStderr;
 
-/// Starts logging to standard error. A reader that stops reading blocks no request. The handle must live as long as the process.
+/// Starts logging to standard error. A reader that stops reading blocks no request. The
+/// handle must live as long as the process.
 pub fn start(settings: &LogSettings) -> Result<LoggerHandle> {
     let format: FormatFunction = match settings.json {
         true => json_format,
