--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -57,6 +57,8 @@
     pub parts: Vec<u64>,
     /// What became of it.
     pub outcome: Outcome,
+    /// When the head of its response was written, and the status.
+    pub answered: Option<(Millis, u16)>,
 }
 
 impl ReceivedRequest {
@@ -104,6 +106,8 @@
     answer: Mutex<Answer>,
     history: Mutex<History>,
     sent_bytes: AtomicU64,
+    /// What the endpoint states of itself: headers of all its responses.
+    statements: Mutex<Vec<(String, String)>>,
     /// The answer to all requests, also to those that name one.
     forced_answer: Mutex<Option<Answer>>,
     crashing_parts: Mutex<Vec<u64>>,
@@ -170,6 +174,7 @@
             answer: Mutex::default(),
             history: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
+            statements: Mutex::default(),
             forced_answer: Mutex::default(),
             crashing_parts: Mutex::default(),
             crash_shape: Mutex::default(),
@@ -200,6 +205,14 @@
         *lock(&self.shared.forced_answer) = answer;
     }
 
+    /// Sets what the endpoint states of itself from now on, as headers of all responses.
+    pub fn set_statements(&self, headers: &[(&str, &str)]) {
+        let headers = headers.iter();
+        *lock(&self.shared.statements) = headers
+            .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+            .collect();
+    }
+
     /// Sets the parts under which its process ends.
     pub fn set_crashing_parts(&self, parts: &[u64]) {
         *lock(&self.shared.crashing_parts) = parts.to_vec();
--- a/standins/src/endpoint/answer.rs
+++ b/standins/src/endpoint/answer.rs
@@ -66,6 +66,8 @@
 pub struct Answer {
     /// The status.
     pub status: u16,
+    /// Headers beside those that all responses carry.
+    pub headers: Vec<(String, String)>,
     /// How the end of the body is marked.
     pub framing: Framing,
     /// What happens at the place where the answer ends.
@@ -88,6 +90,7 @@
     fn default() -> Self {
         Self {
             status: 200,
+            headers: Vec::new(),
             framing: Framing::default(),
             ending: Ending::default(),
             place: Place::default(),
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -77,6 +77,13 @@
     }
 }
 
+fn header_lines(headers: &[(String, String)]) -> String {
+    let lines = headers.iter();
+    lines
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect()
+}
+
 struct Connection<'a> {
     shared: &'a Shared,
     life: &'a Life,
@@ -123,7 +130,8 @@
         let text = serde_json::to_string(value)?;
         write!(
             self.writer,
-            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{text}",
+            "HTTP/1.1 {status} X\r\n{}Content-Length: {}\r\n\r\n{text}",
+            header_lines(&lock(&self.shared.statements)),
             text.len()
         )?;
         Ok(Next::Keep)
@@ -140,6 +148,7 @@
             id: header(&lifecycle.id_header).to_owned(),
             parts: req.parts(&lifecycle.parts_header),
             outcome: Outcome::Waiting,
+            answered: None,
         };
         let crashing_part = self.shared.crashing_part(&received.parts);
         let expected = header(&lifecycle.instance_header);
@@ -153,13 +162,14 @@
             requests.len() - 1
         };
         if is_misdirected {
+            self.set_answered(number, 421);
             return self.write_json(421, &"another instance");
         }
         let Some(_slot) = self.life.take_slot(lifecycle.slots) else {
             return Ok(Next::Close);
         };
         self.set_outcome(number, Outcome::Running);
-        let result = self.run(req, crashing_part);
+        let result = self.run(req, number, crashing_part);
         let outcome = match (&result, crashing_part) {
             (Ok(_), _) => Outcome::Sent,
             (Err(_), Some(_)) => Outcome::Crashed,
@@ -175,8 +185,20 @@
         }
     }
 
+    fn set_answered(&self, number: usize, status: u16) {
+        let now = self.shared.now();
+        if let Some(req) = self.shared.history().requests.get_mut(number) {
+            req.answered = Some((now, status));
+        }
+    }
+
     /// Answers a request, or ends the process under one of its parts.
-    fn run(&mut self, req: &Request, crashing_part: Option<u64>) -> io::Result<Next> {
+    fn run(
+        &mut self,
+        req: &Request,
+        number: usize,
+        crashing_part: Option<u64>,
+    ) -> io::Result<Next> {
         let named = req.header(ANSWER_HEADER);
         let named = named.and_then(|text| serde_json::from_str(text).ok());
         let mut answer = self.shared.answer_to(named);
@@ -197,6 +219,7 @@
             self.write(b"\r\n")?;
             return self.overflow(&answer, Overflow::Head, after);
         }
+        self.set_answered(number, answer.status);
         self.write(head.as_bytes())?;
         if let Some(part) = crashing_part {
             let lifecycle = &self.shared.setup.lifecycle;
@@ -234,9 +257,9 @@
     fn head(&self, req: &Request, answer: &Answer, after: u64) -> String {
         let setup = &self.shared.setup;
         let mut head = format!("HTTP/1.1 {} X\r\n", answer.status);
-        for (name, value) in &setup.headers {
-            head += &format!("{name}: {value}\r\n");
-        }
+        head += &header_lines(&setup.headers);
+        head += &header_lines(&lock(&self.shared.statements));
+        head += &header_lines(&answer.headers);
         for name in &setup.echoed_headers {
             let value = req.header(name).unwrap_or_default();
             head += &format!("{name}: {value}\r\n");
