An endpoint that says in a response that it leaves gets nothing more

Cause: nothing read what an endpoint states of itself; a gateway learned of a leaving endpoint from the store only, later or never.

Change: one table (direct/notices) keeps what each run of an endpoint stated. The dialect reads the words in the head of every response, also of those that are not passed on and of orders and reports. Everything that sends asks the table once its connection takes a request, right before the bytes go out: first attempts, retries, resumes, requests that waited, orders, reports. The statement binds the run (identifier and start time), for good. The other gateways are told, three times, and when they are heard anew; the leader counts the endpoint as leaving and loads its models elsewhere. If all endpoints of a service leave, callers are refused at once.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -30,6 +30,7 @@
 pub mod ledger;
 pub mod loans;
 pub mod members;
+pub mod notices;
 mod origin;
 pub mod part_table;
 pub mod placement;
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -7,18 +7,19 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use super::block_record;
-use super::connection::{CALL_LIMITS, CallClient, ENDPOINT_LIMITS, call};
+use super::connection::{CALL_LIMITS, CallClient, ExchangeError, call, call_endpoint};
 use super::control::Event;
-use super::dialect::{Lease, ModelOrder, StoreError, Transaction};
+use super::dialect::{Call, Lease, ModelOrder, Registration, StoreError, Transaction};
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, Message, SECRET_BYTES, Secret, decode, encode};
 use super::internal::{PEER_TOKEN_HEADER, newer_configuration, peer_token};
 use super::ledger::ORDER_TIMEOUT;
 use super::members::Member;
+use super::notices::Permit;
 use super::queue::EventSender;
 use super::shared::Shared;
 use super::store::Store;
@@ -244,17 +245,25 @@
         }
     }
 
-    /// Sends an order to an engine and passes the outcome to the reducer.
+    /// Sends an order to an engine and passes the outcome to the reducer. An order that
+    /// the engine takes none of now stays unanswered, and comes again.
     pub async fn send_order(self: Rc<Self>, endpoint: CompactString, order: ModelOrder) {
-        let outcome = match self.address_of(&endpoint) {
-            Some(address) => {
-                let req = self.store.dialect().order(&endpoint, &order);
-                let client = RefCell::new(CallClient::new(address, ENDPOINT_LIMITS));
-                let result = call(&client, req, ORDER_TIMEOUT).await;
-                let status = result.ok().map(|(status, _)| status);
-                status.map(|status| self.store.dialect().decode_order(status))
+        let dialect = self.store.dialect();
+        let answer = match self.registration_of(&endpoint) {
+            Some(registration) => {
+                let req = dialect.order(&endpoint, &order);
+                let hear = |status, headers: &HeaderMap| {
+                    let head = dialect.read_response_head(status, headers);
+                    self.shared.hear_endpoint(&registration, &head);
+                };
+                self.call_endpoint(&registration, req, hear).await
             }
-            None => None,
+            None => Err(ExchangeError::NotSent("unknown endpoint".to_owned())),
+        };
+        let outcome = match answer {
+            Ok(Some((status, _))) => Some(dialect.decode_order(status)),
+            Ok(None) => return,
+            Err(_) => None,
         };
         self.send_event(Event::OrderAnswered {
             endpoint,
@@ -265,17 +274,33 @@
 
     /// Requests an engine's report and passes it to the reducer.
     pub async fn fetch_report(self: Rc<Self>, endpoint: CompactString) {
-        let Some(address) = self.address_of(&endpoint) else {
+        let Some(registration) = self.registration_of(&endpoint) else {
             return;
         };
-        let req = self.store.dialect().report();
-        let client = RefCell::new(CallClient::new(address, ENDPOINT_LIMITS));
-        let Ok((StatusCode::OK, body)) = call(&client, req, ORDER_TIMEOUT).await else {
-            journal::write("report.unanswered", &[("endpoint", (&endpoint).into())]);
-            return;
+        let dialect = self.store.dialect();
+        let head = Cell::new(None);
+        let hear = |status, headers: &HeaderMap| {
+            head.set(Some(dialect.read_response_head(status, headers)));
         };
-        match self.store.dialect().decode_report(&body) {
-            Ok(report) => self.send_event(Event::Reported { endpoint, report }),
+        let answer = self.call_endpoint(&registration, dialect.report(), hear);
+        let body = match answer.await {
+            Ok(Some((StatusCode::OK, body))) => body,
+            Ok(None) => return,
+            Ok(Some(_)) | Err(_) => {
+                journal::write("report.unanswered", &[("endpoint", (&endpoint).into())]);
+                return;
+            }
+        };
+        match dialect.decode_report(&body) {
+            Ok(report) => {
+                // The call names no instance, so that another one may have answered.
+                if report.started_at == registration.started_at
+                    && let Some(head) = head.take()
+                {
+                    self.shared.hear_endpoint(&registration, &head);
+                }
+                self.send_event(Event::Reported { endpoint, report });
+            }
             Err(error) => journal::write(
                 "report.unreadable",
                 &[("endpoint", (&endpoint).into()), ("error", (&error).into())],
@@ -283,11 +308,26 @@
         }
     }
 
-    fn address_of(&self, endpoint: &str) -> Option<SocketAddr> {
+    /// Calls an engine, unless it takes nothing now.
+    async fn call_endpoint(
+        &self,
+        endpoint: &Registration,
+        req: Call,
+        hear: impl FnOnce(StatusCode, &HeaderMap),
+    ) -> Result<Option<(StatusCode, Bytes)>, ExchangeError> {
+        let may_send = || self.shared.notices.permit(endpoint) == Permit::Now;
+        let answer = call_endpoint(endpoint.address, req, ORDER_TIMEOUT, may_send, hear).await;
+        if let Ok(None) = answer {
+            journal::write("order.held_back", &[("endpoint", (&endpoint.id).into())]);
+        }
+        answer
+    }
+
+    fn registration_of(&self, endpoint: &str) -> Option<Arc<Registration>> {
         let view = self.shared.view();
         let endpoints = &view.endpoints;
         let at = endpoints.binary_search_by(|e| e.registration.id.as_str().cmp(endpoint));
-        at.ok().map(|at| endpoints[at].registration.address)
+        at.ok().map(|at| endpoints[at].registration.clone())
     }
 
     /// Fetches the configuration of another gateway if it is newer than a version.
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -125,14 +125,18 @@
         self.sender.is_closed()
     }
 
+    /// Waits until the connection takes a request.
+    pub async fn ready(&mut self) -> Result<(), ExchangeError> {
+        let ready = self.sender.ready().await;
+        ready.map_err(|e| ExchangeError::NotSent(e.to_string()))
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        if let Err(error) = self.sender.ready().await {
-            return Err(ExchangeError::NotSent(error.to_string()));
-        }
+        self.ready().await?;
         match self.sender.try_send_request(req).await {
             Ok(res) => Ok(res),
             Err(mut error) => {
@@ -232,6 +236,33 @@
     result
 }
 
+/// Sends a call to an endpoint on a new connection and reads the whole response.
+/// `may_send` is asked once the connection takes the request; `None` if it is not sent.
+/// `hear` gets the head of the response, even if its body breaks off.
+pub async fn call_endpoint(
+    address: SocketAddr,
+    call: Request<Bytes>,
+    within: Millis,
+    may_send: impl FnOnce() -> bool,
+    hear: impl FnOnce(StatusCode, &HeaderMap),
+) -> Result<Option<(StatusCode, Bytes)>, ExchangeError> {
+    let limits = ENDPOINT_LIMITS;
+    let exchange = async {
+        let mut connection = Connection::open(address, within, limits).await?;
+        connection.ready().await?;
+        if !may_send() {
+            return Ok(None);
+        }
+        let res = connection.send(with_host(call, address)).await?;
+        let status = res.status();
+        hear(status, res.headers());
+        let body = read_body(res.into_body(), limits.body_bytes).await?;
+        Ok(Some((status, body)))
+    };
+    let result = timeout(within.as_duration(), exchange).await;
+    result.unwrap_or_else(|_| Err(ExchangeError::Unanswered("timed out".to_owned())))
+}
+
 fn with_host(call: Request<Bytes>, address: SocketAddr) -> Request<Full<Bytes>> {
     let mut req = call.map(Full::new);
     if let Ok(host) = http::HeaderValue::from_str(&address.to_string()) {
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -5,6 +5,7 @@
 mod leadership;
 mod limits;
 mod needs;
+mod notices;
 mod parts;
 mod relayed;
 mod streams;
@@ -19,6 +20,7 @@
 use super::gossip::{Message, split_rows};
 use super::leader::{Leader, LeaderTerm};
 use super::members::Members;
+use super::notices::NoticeBoard;
 use super::rates::Rates;
 use super::registry::Registry;
 use super::settings::{Bounds, Settings};
@@ -32,6 +34,7 @@
 pub use event::{Effect, Event, LeaderRecord, LocalUsage};
 pub use needs::Need;
 use needs::Needs;
+use notices::NoticeOutbox;
 use parts::Parts;
 
 /// Interval between load reports in a fleet of up to [`STATUS_BASE_GATEWAYS`].
@@ -61,6 +64,8 @@
     settings: Arc<Settings>,
     document: Option<Arc<Document>>,
     directory: Directory,
+    notices: Arc<NoticeBoard>,
+    notice_outbox: NoticeOutbox,
     registry: Registry,
     members: Members,
     shares: Shares,
@@ -104,6 +109,8 @@
         Self {
             document: None,
             directory: Directory::new(grace),
+            notices: Arc::default(),
+            notice_outbox: NoticeOutbox::default(),
             registry: Registry::default(),
             members: Members::new(settings.name.clone()),
             shares: Shares::default(),
@@ -130,6 +137,11 @@
         }
     }
 
+    /// Uses what the traffic thread hears from endpoints.
+    pub fn with_notices(self, notices: Arc<NoticeBoard>) -> Self {
+        Self { notices, ..self }
+    }
+
     /// The version of the active configuration; 0 before the first one.
     pub fn version(&self) -> u64 {
         self.document.as_ref().map_or(0, |d| d.version)
@@ -160,7 +172,7 @@
     /// Creates the next view for the traffic threads.
     pub fn view(&mut self, now: Millis) -> View {
         self.generation += 1;
-        let endpoints = self.directory.views(now);
+        let endpoints = self.endpoint_views(now);
         // An endpoint that is gone now was there until now.
         let seen = self.published_endpoints.iter().chain(&endpoints);
         for registration in seen.map(|e| &e.registration) {
@@ -222,6 +234,7 @@
             }
             Event::ModelWanted(need) => self.model_wanted(now, need, &mut out),
             Event::StreamSought(id) => self.seek_stream(id, &mut out),
+            Event::EndpointSaidLeaving(run) => self.endpoint_said_leaving(now, run, &mut out),
             Event::EndpointCrashed(report) => self.endpoint_crashed(now, report, &mut out),
             Event::PartsProgressed(progress) => self.parts_progressed(now, progress),
             Event::PartsChecked(answered) => self.parts_checked(now, answered),
@@ -266,7 +279,7 @@
     fn tick(&mut self, now: Millis, loads: LoadTable, out: &mut Vec<Effect>) {
         self.own_loads = loads;
         let gone = self.directory.expire(now);
-        if !gone.is_empty() || self.directory.views(now) != self.published_endpoints {
+        if !gone.is_empty() || self.endpoint_views(now) != self.published_endpoints {
             self.directory_changed(&gone, out);
         }
         if now >= self.due.status {
@@ -284,8 +297,10 @@
             journal::write(event, &[("peer", (&peer).into())]);
             if is_reachable {
                 self.welcome(now, &peer, out);
+                self.welcome_with_notices(&peer, out);
             }
         }
+        self.tell_notices(out);
         self.relay_registry(now, out);
         self.catch_up(now, out);
         self.campaign(now, out);
@@ -419,6 +434,7 @@
             Message::Crashes(reports) => self.crashes_told(now, from, reports, out),
             Message::PartProgress(told) => self.progress_told(now, told),
             Message::Blocks(blocks) => self.blocks_told(now, blocks, out),
+            Message::Leaving(runs) => self.leaving_told(now, from, &runs, out),
             Message::Registry(part) => self.registry_relayed(now, from, part, out),
             Message::Holdings(all) => {
                 let mut has_changed = false;
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -14,6 +14,7 @@
 use crate::direct::gossip::{Datagram, Message};
 use crate::direct::ledger::EngineCall;
 use crate::direct::members::Member;
+use crate::direct::notices::RunId;
 use crate::direct::part_table::PartLists;
 use crate::direct::settings::Bounds;
 use crate::direct::shared::ModelDemand;
@@ -93,6 +94,8 @@
     ModelWanted(Need),
     /// A request goes on with a stream of which no record is known here.
     StreamSought(StreamId),
+    /// An endpoint said for the first time that it leaves.
+    EndpointSaidLeaving(RunId),
     /// An endpoint ended while it was about to answer requests of this gateway.
     EndpointCrashed(CrashReport),
     /// Answers to prompts with watched parts got under way at this gateway.
@@ -170,6 +173,7 @@
             Self::ModelWanted(_) => "model_wanted",
             Self::StreamSought(_) => "stream_sought",
             Self::EndpointCrashed(_) => "endpoint_crashed",
+            Self::EndpointSaidLeaving(_) => "endpoint_said_leaving",
             Self::PartsProgressed(_) => "parts_progressed",
             Self::PartsChecked(_) => "parts_checked",
             Self::BlockOrdered { .. } => "block_ordered",
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -135,7 +135,7 @@
         work: impl FnOnce(&mut Leader, &LeaderInput<'_>) -> T,
     ) -> Option<T> {
         let document = self.document.clone()?;
-        let endpoints = self.directory.views(now);
+        let endpoints = self.endpoint_views(now);
         let mut loads = self.members.loads(now);
         for (endpoint, load) in &self.own_loads {
             match loads.binary_search_by(|(id, _)| id.cmp(endpoint)) {
--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -94,7 +94,9 @@
         let id = CrashId::of_run(&run.endpoint.id, run.endpoint.started_at);
         let mut cases = self.cases.borrow_mut();
         // An endpoint that leaves ends anyway, but a request may have ended it before.
-        let is_counted = cases.is_open(now, id) || is_in_use(&self.shared.view(), &run.endpoint);
+        let is_in_use = is_in_use(&self.shared.view(), &run.endpoint)
+            && !self.shared.notices.is_leaving(&run.endpoint);
+        let is_counted = cases.is_open(now, id) || is_in_use;
         let suspects = suspects_of(&self.shared.parts, now, &run.parts, run.is_under_way);
         self.turns.borrow_mut().record_break(now, id, &suspects);
         match cases.record_break(now, id, &suspects, is_counted) {
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Request, StatusCode};
 
 use super::document::Document;
+use super::notices::Notice;
 use super::request::{ForwardMetadata, RequestMetadata};
 use crate::clock::Millis;
 
@@ -192,7 +193,7 @@
 }
 
 /// What the head of an endpoint's response states in addition to its status.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// The identifier of the request that the endpoint responds to, if stated.
     pub request_id: Option<CompactString>,
@@ -200,6 +201,8 @@
     pub not_run: bool,
     /// Whether a different endpoint than the intended one responded.
     pub is_misdirected: bool,
+    /// What the endpoint states of itself.
+    pub notice: Notice,
 }
 
 /// Names, formats and calls of a platform.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -85,7 +85,8 @@
             follow(store, events, FleetFollower)
         });
         supervisor.spawn("tick", tick(self.shared.clone(), events));
-        let mut control = Control::new(self.shared.settings.clone());
+        let mut control =
+            Control::new(self.shared.settings.clone()).with_notices(self.shared.notices.clone());
         let mut workload = Workload::default();
         while let Some(Queued { event, sent_at }) = queue.next().await {
             let kind = event.name();
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -15,8 +15,9 @@
 use super::buffers::BufferBudget;
 use super::control::{Event, Need};
 use super::crash_watch::{CrashWatch, Turn, Verdict};
-use super::fleet::{EndpointKey, FleetCell};
+use super::fleet::{EndpointKey, Fleet, FleetCell};
 use super::job::Job;
+use super::notices::{Permit, RunId};
 use super::refusal::Refusal;
 use super::request::adapter_hash;
 use super::resume::ResumePoint;
@@ -63,6 +64,8 @@
     Endpoint(EndpointKey),
     /// Every endpoint that can serve the request is full.
     AllFull,
+    /// Every endpoint that could serve the request is leaving.
+    AllLeaving,
     /// No endpoint can serve the request.
     NoCandidate,
 }
@@ -99,7 +102,7 @@
         history: &mut AttemptHistory,
         resume: &ResumePoint,
     ) -> Result<UpstreamResponse, Refusal> {
-        let mut last = Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_AFTER);
+        let mut last = no_endpoint();
         // A server error is passed to the caller if no later attempt succeeds.
         let mut failure = None;
         while history.attempted.len() < MAX_ATTEMPTS {
@@ -138,6 +141,9 @@
                     last = Refusal::new(Code::PartBlocked);
                     break;
                 }
+                Attempt::HeldBack => {
+                    history.attempted.pop();
+                }
                 Attempt::NotRun(code) => last = Refusal::new(code).retry_after(BUSY_RETRY_AFTER),
                 Attempt::Failed(code, verdict) => {
                     history.runs += 1;
@@ -245,6 +251,7 @@
                     let busy = Refusal::new(Code::Busy);
                     return Err(busy.retry_after(self.busy_retry_delay()));
                 }
+                Choice::AllLeaving => return Err(no_endpoint()),
                 Choice::NoCandidate => {}
             }
             let is_first = history.attempted.is_empty();
@@ -258,7 +265,7 @@
                 self.shared.send_event(event);
             }
             if !is_first {
-                return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_AFTER));
+                return Err(no_endpoint());
             }
             if !has_waited {
                 job.log("request.waits", &[("service", (&job.service).into())]);
@@ -267,7 +274,7 @@
             let left = until.since(self.shared.now());
             let has_changed = timeout(left.as_duration(), changed.changed()).await;
             if has_changed.is_err() {
-                return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_AFTER));
+                return Err(no_endpoint());
             }
             job.check_parts(&self.shared)?;
         }
@@ -281,17 +288,46 @@
         ))
     }
 
+    /// Endpoints that said that no request may be sent to them now.
+    fn held_back(&self, fleet: &Fleet) -> Vec<EndpointKey> {
+        self.shared.notices.with(|notices| {
+            let held = fleet.iter().filter(|(_, endpoint)| {
+                let run = RunId::of(&endpoint.view.registration);
+                notices.permit(run) != Permit::Now
+            });
+            held.map(|(key, _)| key).collect()
+        })
+    }
+
+    /// Whether there are endpoints of the request's service, and none of them will take
+    /// it, even if it loads the model.
+    fn are_all_leaving(&self, fleet: &Fleet, job: &Job, resume: &ResumePoint) -> bool {
+        let registrations = fleet.iter().map(|(_, e)| &e.view.registration);
+        let mut able = registrations.filter(|r| {
+            let version = resume.version.as_ref();
+            r.service == job.service && version.is_none_or(|v| r.version == *v)
+        });
+        let mut are_any = false;
+        let is_leaving = able.all(|registration| {
+            are_any = true;
+            self.shared.notices.is_leaving(registration)
+        });
+        is_leaving && are_any
+    }
+
     fn choose_endpoint(&self, job: &Job, history: &AttemptHistory, resume: &ResumePoint) -> Choice {
         let now = self.shared.now();
         let peer_loads = self.shared.peer_loads();
         let mut fleet = self.fleet.borrow_mut();
         fleet.sync(&self.shared.view());
+        let mut excluded = history.attempted.clone();
+        excluded.extend(self.held_back(&fleet));
         let criteria = Criteria {
             service: &job.service,
             model: job.metadata.model.as_ref(),
             version: resume.version.as_deref(),
             zone: &self.shared.settings.zone,
-            excluded: &history.attempted,
+            excluded: &excluded,
             affinity: job.metadata.session(),
             response_start_timeout: job.response_start_timeout,
             gateways: self.shared.gateway_count(),
@@ -299,7 +335,10 @@
         };
         let mut found = candidates(now, &fleet, &peer_loads, &criteria);
         if found.is_empty() {
-            return Choice::NoCandidate;
+            return match self.are_all_leaving(&fleet, job, resume) {
+                true => Choice::AllLeaving,
+                false => Choice::NoCandidate,
+            };
         }
         found.retain(|c| !criteria.is_full(c));
         let Some(chosen) = choose(&criteria, &found) else {
@@ -323,3 +362,7 @@
         Choice::Endpoint(chosen.key)
     }
 }
+
+fn no_endpoint() -> Refusal {
+    Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_AFTER)
+}
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -18,6 +18,7 @@
 use crate::direct::fleet::{EndpointKey, InFlight};
 use crate::direct::framing::{BodyProgress, Framing};
 use crate::direct::job::Job;
+use crate::direct::notices::Permit;
 
 /// Time limit for connecting to an endpoint: a few round trips between zones. A
 /// lost SYN is retransmitted only after a second, so that trying another endpoint
@@ -28,6 +29,8 @@
 pub(super) enum Attempt {
     /// The endpoint responded, possibly with a server error.
     Answered(Box<UpstreamResponse>),
+    /// Nothing was sent, as the endpoint takes no request now.
+    HeldBack,
     /// The request certainly did not run.
     NotRun(Code),
     /// The request may have run. If a part of its prompt may be the cause, the verdict
@@ -37,6 +40,7 @@
 
 /// A request that was sent to an endpoint.
 struct Sent {
+    endpoint: Arc<Registration>,
     in_flight: InFlight,
     connection: Connection,
     run: Option<WatchedRun>,
@@ -105,11 +109,17 @@
         if let Err(refusal) = job.check_parts(&self.shared) {
             return Attempt::NotRun(refusal.code);
         }
+        if self.shared.notices.permit(&endpoint) != Permit::Now {
+            job.log("request.held_back", &[("endpoint", (&endpoint.id).into())]);
+            self.keep_connection(key, connection);
+            return Attempt::HeldBack;
+        }
         let req = job.request_for(&self.shared, &endpoint.id, last_event_id);
         let run = self.crash_watch.watch(job, &endpoint, turn);
         match connection.send(req).await {
             Ok(res) => {
                 let sent = Sent {
+                    endpoint,
                     in_flight,
                     connection,
                     run,
@@ -134,12 +144,19 @@
         }
     }
 
+    fn keep_connection(&self, key: EndpointKey, connection: Connection) {
+        let now = self.shared.now();
+        if let Some(endpoint) = self.fleet.borrow_mut().get_mut(key) {
+            endpoint.put_idle(now, connection);
+        }
+    }
+
     fn registration_of(&self, key: EndpointKey) -> Option<Arc<Registration>> {
         let fleet = self.fleet.borrow();
         Some(fleet.get(key)?.view.registration.clone())
     }
 
-    /// Takes an idle connection or opens a new one. A request that runs at most once
+    /// Takes an idle connection or opens a new one, which then takes a request at once. A request that runs at most once
     /// always gets a new one: an idle connection may already be closed by the
     /// endpoint, or may still deliver a duplicate of an earlier response.
     async fn connect(
@@ -148,19 +165,23 @@
         key: EndpointKey,
         address: SocketAddr,
     ) -> Result<Connection, ExchangeError> {
+        let mut idle = None;
         if job.kind != RouteKind::AtMostOnce {
             let now = self.shared.now();
             let mut fleet = self.fleet.borrow_mut();
-            let idle = fleet.get_mut(key).and_then(|e| e.take_idle(now));
-            if let Some(connection) = idle {
-                return Ok(connection);
-            }
+            idle = fleet.get_mut(key).and_then(|e| e.take_idle(now));
         }
-        Connection::open(address, CONNECT_TIMEOUT, ENDPOINT_LIMITS).await
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => Connection::open(address, CONNECT_TIMEOUT, ENDPOINT_LIMITS).await?,
+        };
+        connection.ready().await?;
+        Ok(connection)
     }
 
     fn classify_response(&self, job: &Job, sent: Sent, res: Response<Incoming>) -> Attempt {
         let Sent {
+            endpoint,
             in_flight,
             connection,
             mut run,
@@ -171,6 +192,7 @@
             .shared
             .dialect
             .read_response_head(res.status(), res.headers());
+        self.shared.hear_endpoint(&endpoint, &head);
         if head.is_misdirected || head.not_run {
             // The endpoint's load still counts this request.
             in_flight.update_endpoint(|e| e.health.record_data(now, e.load.requests > 1));
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -12,6 +12,7 @@
 
 use super::control::Need;
 use super::directory::Holdings;
+use super::notices::RunId;
 use super::registry::RegistryPart;
 use super::request::ModelRef;
 use super::streams::{StreamId, StreamRecord};
@@ -123,6 +124,8 @@
     PartProgress(Vec<PartProgress>),
     /// Parts that are blocked, and blocks that were lifted.
     Blocks(Vec<Block>),
+    /// Endpoints that said that they leave.
+    Leaving(Vec<RunId>),
 }
 
 impl Message {
@@ -143,6 +146,7 @@
             Self::Crashes(_) => "peer_crashes",
             Self::PartProgress(_) => "peer_part_progress",
             Self::Blocks(_) => "peer_blocks",
+            Self::Leaving(_) => "peer_leaving",
         }
     }
 
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -57,6 +57,7 @@
         | Event::RegistryRead { .. }
         | Event::StoreLost
         | Event::StoreAnswered
+        | Event::EndpointSaidLeaving(_)
         | Event::EndpointCrashed(_)
         | Event::PartsProgressed(_)
         | Event::PartsChecked(_)
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -9,7 +9,8 @@
 use tokio::sync::watch;
 
 use super::control::Event;
-use super::dialect::Dialect;
+use super::dialect::{Dialect, Registration, ResponseHead};
+use super::notices::{NoticeBoard, RunId};
 use super::part_table::PartTable;
 use super::queue::EventSender;
 use super::reload::LiveSettings;
@@ -53,6 +54,8 @@
     pub streams: Streams,
     /// Parts of prompts that are blocked or watched, and those answered here lately.
     pub parts: PartTable,
+    /// What endpoints stated of themselves.
+    pub notices: Arc<NoticeBoard>,
     live_settings: ArcSwap<LiveSettings>,
     part_evidence: ArcSwap<(Millis, Snapshot)>,
     view: ArcSwap<View>,
@@ -89,6 +92,7 @@
             metrics,
             streams: Streams::default(),
             parts: PartTable::default(),
+            notices: Arc::default(),
             live_settings: ArcSwap::from_pointee(live_settings),
             part_evidence: ArcSwap::default(),
             view: ArcSwap::default(),
@@ -151,6 +155,17 @@
         self.part_evidence.store(Arc::new((self.now(), known)));
     }
 
+    /// Records what a response says of its endpoint. One of another endpoint, which has
+    /// the address now, says nothing of this one.
+    pub fn hear_endpoint(&self, endpoint: &Registration, head: &ResponseHead) {
+        if head.is_misdirected {
+            return;
+        }
+        if self.notices.hear(self.now(), endpoint, &head.notice) {
+            self.send_event(Event::EndpointSaidLeaving(RunId::of(endpoint)));
+        }
+    }
+
     /// Subscribes to changes of the view; the value is the view's generation.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.generation.subscribe()
