An endpoint that names a time with its refusal gets nothing before it is over

Change: the table keeps the latest end of the pauses that an endpoint named to this gateway; the same question right before sending covers orders and reports too. After its end the number of requests doubles every 250 ms for 2 s, so that callers return little by little. If all endpoints that can serve a request are paused, its caller is refused at once, with the earliest end and up to a second more. A time that can't be read counts as a second, none as over ten minutes.

Ruled out: passing the pause on to the other gateways; they aren't bound, and a refusal may concern one gateway's share only.

--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -315,7 +315,7 @@
         req: Call,
         hear: impl FnOnce(StatusCode, &HeaderMap),
     ) -> Result<Option<(StatusCode, Bytes)>, ExchangeError> {
-        let may_send = || self.shared.notices.permit(endpoint) == Permit::Now;
+        let may_send = || self.shared.notices.begin(self.shared.now(), endpoint) == Permit::Now;
         let answer = call_endpoint(endpoint.address, req, ORDER_TIMEOUT, may_send, hear).await;
         if let Ok(None) = answer {
             journal::write("order.held_back", &[("endpoint", (&endpoint.id).into())]);
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -1,6 +1,6 @@
 //! Selects the endpoint for a request.
 
-use super::fleet::{EndpointKey, Fleet};
+use super::fleet::{Endpoint, EndpointKey, Fleet};
 use super::health::Health;
 use super::request::ModelRef;
 use super::view::{EndpointView, Load, LoadTable, Usability, load_of};
@@ -70,6 +70,14 @@
         share.max(MIN_SAMPLE)
     }
 
+    /// Whether an endpoint can serve the request, whatever its load.
+    pub fn serves(&self, endpoint: &Endpoint) -> bool {
+        let registration = &endpoint.view.registration;
+        registration.service == self.service
+            && self.model.is_none_or(|m| endpoint.view.holds(m))
+            && self.version.is_none_or(|v| registration.version == v)
+    }
+
     /// Whether a further request would start too late at this endpoint.
     pub fn is_full(&self, candidate: &Candidate<'_>) -> bool {
         candidate.load.requests >= self.capacity(candidate.view.registration.slots)
@@ -116,16 +124,11 @@
 ) -> Vec<Candidate<'a>> {
     let mut found: Vec<Candidate<'a>> = Vec::new();
     for (key, endpoint) in fleet.iter() {
-        let registration = &endpoint.view.registration;
-        let serves = registration.service == criteria.service
-            && criteria.model.is_none_or(|m| endpoint.view.holds(m))
-            && criteria.version.is_none_or(|v| registration.version == v)
-            && !criteria.excluded.contains(&key);
-        if !serves {
+        if criteria.excluded.contains(&key) || !criteria.serves(endpoint) {
             continue;
         }
         let mut load = endpoint.load.clone();
-        load.add(&load_of(peer_loads, &registration.id));
+        load.add(&load_of(peer_loads, &endpoint.view.registration.id));
         found.push(Candidate {
             key,
             view: &endpoint.view,
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -64,6 +64,8 @@
     Endpoint(EndpointKey),
     /// Every endpoint that can serve the request is full.
     AllFull,
+    /// Every endpoint that can serve the request wants none before this time.
+    AllPaused(Millis),
     /// Every endpoint that could serve the request is leaving.
     AllLeaving,
     /// No endpoint can serve the request.
@@ -112,7 +114,12 @@
             }
             let key = match self.wait_for_endpoint(job, history, resume).await {
                 Ok(key) => key,
-                Err(_) if is_retry => break,
+                Err(refusal) if is_retry => {
+                    if refusal.code == Code::Busy && last.ran() == Ran::No {
+                        last = refusal;
+                    }
+                    break;
+                }
                 Err(refusal) => return Err(refusal),
             };
             // After the wait: all that waited would be sent together.
@@ -251,6 +258,10 @@
                     let busy = Refusal::new(Code::Busy);
                     return Err(busy.retry_after(self.busy_retry_delay()));
                 }
+                Choice::AllPaused(at) => {
+                    let wait = at.since(self.shared.now()) + self.return_spread();
+                    return Err(Refusal::new(Code::Busy).retry_after(wait));
+                }
                 Choice::AllLeaving => return Err(no_endpoint()),
                 Choice::NoCandidate => {}
             }
@@ -288,14 +299,25 @@
         ))
     }
 
-    /// Endpoints that said that no request may be sent to them now.
-    fn held_back(&self, fleet: &Fleet) -> Vec<EndpointKey> {
+    /// Time by which callers are spread that wait for the end of a pause.
+    fn return_spread(&self) -> Millis {
+        Millis(rand::random_range(0..=BUSY_RETRY_AFTER.0))
+    }
+
+    /// Endpoints that said that no request may be sent to them now, each with the time
+    /// from which one may.
+    fn held_back(&self, now: Millis, fleet: &Fleet) -> Vec<(EndpointKey, Option<Millis>)> {
         self.shared.notices.with(|notices| {
-            let held = fleet.iter().filter(|(_, endpoint)| {
+            let permits = fleet.iter().map(|(key, endpoint)| {
                 let run = RunId::of(&endpoint.view.registration);
-                notices.permit(run) != Permit::Now
+                (key, notices.permit(now, run))
+            });
+            let held = permits.filter_map(|(key, permit)| match permit {
+                Permit::Now => None,
+                Permit::At(at) => Some((key, Some(at))),
+                Permit::Never => Some((key, None)),
             });
-            held.map(|(key, _)| key).collect()
+            held.collect()
         })
     }
 
@@ -320,8 +342,9 @@
         let peer_loads = self.shared.peer_loads();
         let mut fleet = self.fleet.borrow_mut();
         fleet.sync(&self.shared.view());
+        let held = self.held_back(now, &fleet);
         let mut excluded = history.attempted.clone();
-        excluded.extend(self.held_back(&fleet));
+        excluded.extend(held.iter().map(|(key, _)| *key));
         let criteria = Criteria {
             service: &job.service,
             model: job.metadata.model.as_ref(),
@@ -335,9 +358,12 @@
         };
         let mut found = candidates(now, &fleet, &peer_loads, &criteria);
         if found.is_empty() {
-            return match self.are_all_leaving(&fleet, job, resume) {
-                true => Choice::AllLeaving,
-                false => Choice::NoCandidate,
+            let able = |key: &EndpointKey| fleet.get(*key).is_some_and(|e| criteria.serves(e));
+            let paused = held.iter().filter(|(key, _)| able(key));
+            return match paused.filter_map(|(_, at)| *at).min() {
+                Some(at) => Choice::AllPaused(at),
+                None if self.are_all_leaving(&fleet, job, resume) => Choice::AllLeaving,
+                None => Choice::NoCandidate,
             };
         }
         found.retain(|c| !criteria.is_full(c));
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -109,7 +109,8 @@
         if let Err(refusal) = job.check_parts(&self.shared) {
             return Attempt::NotRun(refusal.code);
         }
-        if self.shared.notices.permit(&endpoint) != Permit::Now {
+        let now = self.shared.now();
+        if self.shared.notices.begin(now, &endpoint) != Permit::Now {
             job.log("request.held_back", &[("endpoint", (&endpoint.id).into())]);
             self.keep_connection(key, connection);
             return Attempt::HeldBack;
--- a/src/direct/notices.rs
+++ b/src/direct/notices.rs
@@ -13,6 +13,15 @@
 
 pub use board::NoticeBoard;
 
+/// The longest pause that is kept.
+const MAX_PAUSE: Millis = Millis(600_000);
+/// The pause of an endpoint that wants one and states no usable time.
+const DEFAULT_PAUSE: Millis = Millis(1_000);
+/// After a pause, the number of requests that a gateway may have sent doubles in each of
+/// these steps, from one on.
+const RETURN_STEP: Millis = Millis(250);
+/// Number of steps after which it is not bounded any more.
+const RETURN_STEPS: u64 = 8;
 /// The most endpoints of which statements are kept.
 const MAX_RECORDS: usize = 4_096;
 
@@ -36,11 +45,22 @@
     }
 }
 
+/// A value in a response that may have no meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stated<T> {
+    /// A usable value.
+    Value(T),
+    /// Something that cannot be used.
+    Invalid,
+}
+
 /// What one response states of its endpoint, beside its answer to the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether the endpoint is shutting down.
     pub is_leaving: bool,
+    /// For how long it wants no request from this gateway.
+    pub pause: Option<Stated<Millis>>,
     /// The name of a field whose value has no meaning.
     pub invalid: Option<&'static str>,
 }
@@ -50,6 +70,8 @@
 pub enum Permit {
     /// It may be sent now.
     Now,
+    /// Not before this time.
+    At(Millis),
     /// Not in this run of the endpoint.
     Never,
 }
@@ -59,6 +81,8 @@
 pub struct News {
     /// The endpoint is leaving, which was not known.
     pub is_leaving: bool,
+    /// It wants no request until then, which is later than it said before.
+    pub pause_until: Option<Millis>,
     /// A field without meaning that is to be logged.
     pub invalid: Option<&'static str>,
 }
@@ -68,9 +92,33 @@
     run: RunId,
     heard_at: Millis,
     is_leaving: bool,
+    pause: Option<Pause>,
     has_logged_invalid: bool,
 }
 
+/// A time without requests, and the first ones after it.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Millis,
+    /// Requests that were sent after its end.
+    sent: u64,
+}
+
+impl Pause {
+    fn permit(&self, now: Millis) -> Permit {
+        if now < self.until {
+            return Permit::At(self.until);
+        }
+        let step = now.since(self.until).0 / RETURN_STEP.0;
+        if step >= RETURN_STEPS || self.sent < 1 << step {
+            return Permit::Now;
+        }
+        // The first step in which one more may have been sent.
+        let next = u64::from(u64::BITS - self.sent.leading_zeros());
+        Permit::At(self.until + Millis(next * RETURN_STEP.0))
+    }
+}
+
 /// The statements of all endpoints, sorted by run.
 #[derive(Clone, Debug, Default)]
 pub struct Notices(Vec<Record>);
@@ -86,18 +134,46 @@
         let (was_leaving, was_logged) = (record.is_leaving, record.has_logged_invalid);
         record.is_leaving |= notice.is_leaving;
         record.has_logged_invalid |= notice.invalid.is_some();
+        let pause = notice.pause.map(|stated| match stated {
+            Stated::Value(pause) => pause.min(MAX_PAUSE),
+            Stated::Invalid => DEFAULT_PAUSE,
+        });
+        let until = pause.filter(|p| *p > Millis::ZERO).map(|p| now + p);
+        let pause_until = until.filter(|until| record.pause.is_none_or(|p| p.until < *until));
+        if let Some(until) = pause_until {
+            record.pause = Some(Pause { until, sent: 0 });
+        }
         News {
+            pause_until,
             is_leaving: notice.is_leaving && !was_leaving,
             invalid: notice.invalid.filter(|_| !was_logged),
         }
     }
 
     /// Whether a request may be sent to an endpoint.
-    pub fn permit(&self, run: RunId) -> Permit {
+    pub fn permit(&self, now: Millis, run: RunId) -> Permit {
         match self.record(run) {
             Some(record) if record.is_leaving => Permit::Never,
-            _ => Permit::Now,
+            Some(record) => record.pause.map_or(Permit::Now, |pause| pause.permit(now)),
+            None => Permit::Now,
+        }
+    }
+
+    /// Asks for the permit of a request that leaves now, if it is granted.
+    pub fn begin(&mut self, now: Millis, run: RunId) -> Permit {
+        let permit = self.permit(now, run);
+        if permit == Permit::Now
+            && let Ok(at) = self.find(run)
+            && let Some(pause) = &mut self.0[at].pause
+        {
+            pause.sent += 1;
         }
+        permit
+    }
+
+    /// Whether an endpoint said that it leaves.
+    pub fn is_leaving(&self, run: RunId) -> bool {
+        self.record(run).is_some_and(|record| record.is_leaving)
     }
 
     /// The endpoints that are leaving.
@@ -107,14 +183,16 @@
     }
 
     fn record(&self, run: RunId) -> Option<&Record> {
-        let at = self.0.binary_search_by_key(&run, |record| record.run);
-        at.ok().map(|at| &self.0[at])
+        self.find(run).ok().map(|at| &self.0[at])
+    }
+
+    fn find(&self, run: RunId) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&run, |record| record.run)
     }
 
     /// The record of a run, which replaces the oldest one if there are too many.
     fn record_mut(&mut self, now: Millis, run: RunId) -> &mut Record {
-        let key = |record: &Record| record.run;
-        if self.0.binary_search_by_key(&run, key).is_err() {
+        if self.find(run).is_err() {
             if self.0.len() >= MAX_RECORDS {
                 let oldest = self.0.iter().enumerate().min_by_key(|(_, r)| r.heard_at);
                 let oldest = oldest.map(|(at, _)| at);
@@ -125,6 +203,7 @@
                 run,
                 heard_at: now,
                 is_leaving: false,
+                pause: None,
                 has_logged_invalid: false,
             };
             self.0.insert(at, record);
--- a/src/direct/notices/board.rs
+++ b/src/direct/notices/board.rs
@@ -24,6 +24,15 @@
                 &[("endpoint", id.into()), ("from", "".into())],
             );
         }
+        if let Some(until) = news.pause_until {
+            journal::write(
+                "endpoint.paused",
+                &[
+                    ("endpoint", id.into()),
+                    ("pause_ms", until.since(now).into()),
+                ],
+            );
+        }
         if let Some(field) = news.invalid {
             journal::write(
                 "endpoint.notice_invalid",
@@ -46,13 +55,18 @@
     }
 
     /// Whether a request may be sent to an endpoint.
-    pub fn permit(&self, endpoint: &Registration) -> Permit {
-        self.lock().permit(RunId::of(endpoint))
+    pub fn permit(&self, now: Millis, endpoint: &Registration) -> Permit {
+        self.lock().permit(now, RunId::of(endpoint))
+    }
+
+    /// Asks for the permit of a request that leaves now, if it is granted.
+    pub fn begin(&self, now: Millis, endpoint: &Registration) -> Permit {
+        self.lock().begin(now, RunId::of(endpoint))
     }
 
     /// Whether an endpoint said that it leaves.
     pub fn is_leaving(&self, endpoint: &Registration) -> bool {
-        self.permit(endpoint) == Permit::Never
+        self.lock().is_leaving(RunId::of(endpoint))
     }
 
     /// All endpoints that said so.
@@ -64,7 +78,7 @@
     pub fn mark_leaving(&self, endpoints: &mut [EndpointView]) {
         let notices = self.lock();
         for endpoint in endpoints {
-            if notices.permit(RunId::of(&endpoint.registration)) == Permit::Never {
+            if notices.is_leaving(RunId::of(&endpoint.registration)) {
                 endpoint.usability = Usability::Leaving;
             }
         }
--- a/tests/direct_notices.rs
+++ b/tests/direct_notices.rs
@@ -13,7 +13,7 @@
 use rattanstall::direct::dialect::{EndpointState, Registration, Report, Resident};
 use rattanstall::direct::gossip::Message;
 use rattanstall::direct::ledger::EngineCall;
-use rattanstall::direct::notices::{Notice, NoticeBoard, Notices, Permit, RunId};
+use rattanstall::direct::notices::{Notice, NoticeBoard, Notices, Permit, RunId, Stated};
 use rattanstall::direct::view::Usability;
 
 use fleet::{ENGINES, elected_leader, from_peer, model, registered_gateway};
@@ -21,6 +21,7 @@
 
 const LEAVING: Notice = Notice {
     is_leaving: true,
+    pause: None,
     invalid: None,
 };
 
@@ -48,9 +49,9 @@
         "no news"
     );
     notices.hear(Millis(3), run, &Notice::default());
-    assert_eq!(notices.permit(run), Permit::Never);
+    assert_eq!(notices.permit(Millis(4), run), Permit::Never);
     for other in [RunId::new("e", 8), RunId::new("f", 7)] {
-        assert_eq!(notices.permit(other), Permit::Now);
+        assert_eq!(notices.permit(Millis(4), other), Permit::Now);
     }
 }
 
@@ -62,8 +63,11 @@
         notices.hear(Millis(n), RunId::new("e", n), &LEAVING);
     }
     assert!(notices.leaving().count() <= 4_096);
-    assert_eq!(notices.permit(RunId::new("e", 9_999)), Permit::Never);
-    assert_eq!(notices.permit(RunId::new("e", 0)), Permit::Now);
+    assert_eq!(
+        notices.permit(Millis(4), RunId::new("e", 9_999)),
+        Permit::Never
+    );
+    assert_eq!(notices.permit(Millis(4), RunId::new("e", 0)), Permit::Now);
 }
 
 // Guards against an endpoint that counts as open for placement because its registration
@@ -198,5 +202,88 @@
         usability(&mut control, Millis(20), "e000"),
         Some(Usability::Leaving)
     );
-    assert_eq!(board.permit(&draining), Permit::Now);
+    assert_eq!(board.permit(Millis(20), &draining), Permit::Now);
+}
+
+fn pause(ms: u64) -> Notice {
+    Notice {
+        pause: Some(Stated::Value(Millis(ms))),
+        ..Notice::default()
+    }
+}
+
+// Guards against a shorter pause, named by a response that overtook another one, in place
+// of a longer one.
+#[test]
+fn the_latest_end_of_several_pauses_holds() {
+    for times in [
+        [3_000, 1_000, 2_000],
+        [1_000, 3_000, 2_000],
+        [2_000, 1_000, 3_000],
+    ] {
+        let mut notices = Notices::default();
+        let run = RunId::new("e", 1);
+        for ms in times {
+            notices.hear(Millis(100), run, &pause(ms));
+        }
+        assert_eq!(
+            notices.permit(Millis(3_099), run),
+            Permit::At(Millis(3_100))
+        );
+        assert_eq!(notices.permit(Millis(3_100), run), Permit::Now);
+    }
+}
+
+// Guards against a pause of no length that stops an endpoint, one without a usable time
+// that does not, and one without end.
+#[test]
+fn pauses_without_a_usable_time_have_one_of_our_own() {
+    let run = RunId::new("e", 1);
+    let permit = |notice: &Notice| {
+        let mut notices = Notices::default();
+        let news = notices.hear(Millis(5), run, notice);
+        (notices.permit(Millis(5), run), news)
+    };
+    assert_eq!(permit(&pause(0)).0, Permit::Now);
+    assert_eq!(permit(&pause(1)).0, Permit::At(Millis(6)));
+    assert_eq!(permit(&pause(u64::MAX)).0, Permit::At(Millis(600_005)));
+    let invalid = Notice {
+        pause: Some(Stated::Invalid),
+        invalid: Some("field"),
+        ..Notice::default()
+    };
+    let (found, news) = permit(&invalid);
+    assert_eq!(found, Permit::At(Millis(1_005)));
+    assert_eq!(news.invalid, Some("field"));
+    let mut notices = Notices::default();
+    notices.hear(Millis(5), run, &invalid);
+    assert_eq!(notices.hear(Millis(6), run, &invalid).invalid, None, "once");
+}
+
+// Guards against a herd after a pause: all callers that the gateway has at that moment.
+#[test]
+fn requests_return_to_an_endpoint_in_growing_numbers_after_its_pause() {
+    let mut notices = Notices::default();
+    let run = RunId::new("e", 1);
+    notices.hear(Millis(0), run, &pause(1_000));
+    let mut sent = Vec::new();
+    for now in 0..4_000 {
+        // A thousand callers a second.
+        match notices.begin(Millis(now), run) {
+            Permit::Now => sent.push(now),
+            Permit::At(at) => assert!(at > Millis(now) && at <= Millis(3_000)),
+            Permit::Never => panic!("it does not leave"),
+        }
+    }
+    let within = |ms: u64| sent.iter().filter(|at| **at < 1_000 + ms).count();
+    assert_eq!(
+        [within(0), within(250), within(500), within(1_000)],
+        [0, 1, 2, 8]
+    );
+    assert_eq!(within(3_000) - within(2_000), 1_000);
+    // A refusal among the first requests begins a new pause.
+    notices.hear(Millis(4_000), run, &pause(500));
+    assert_eq!(notices.begin(Millis(4_001), run), Permit::At(Millis(4_500)));
+    assert_eq!(notices.begin(Millis(4_500), run), Permit::Now);
+    assert_eq!(notices.begin(Millis(4_501), run), Permit::At(Millis(4_750)));
 }
