Operators see what endpoints said of themselves: rattanstallctl endpoints, /state, a metric

/state names for each endpoint whether it said that it leaves and how much longer it wants no request; rattanstallctl endpoints ADDRESS prints it; rattanstall_endpoints counts them by what they said, when it is read.

--- a/src/bin/rattanstallctl/commands.rs
+++ b/src/bin/rattanstallctl/commands.rs
@@ -12,7 +12,7 @@
 use rattanstall::tls;
 use serde_json::{Value, json};
 
-use crate::parts;
+use crate::{endpoints, parts};
 
 /// How long `--wait` waits for all gateways.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -79,6 +79,12 @@
         about: "shuts one process down gracefully",
         run: drain,
     },
+    Command {
+        name: "endpoints",
+        operands: "ADDRESS",
+        about: "shows endpoints and what they said of themselves",
+        run: endpoints::list,
+    },
     Command {
         name: "parts",
         operands: "ADDRESS",
--- a/src/bin/rattanstallctl/main.rs
+++ b/src/bin/rattanstallctl/main.rs
@@ -1,6 +1,7 @@
 //! The command line tool for operators.
 
 mod commands;
+mod endpoints;
 mod parts;
 
 use std::process::ExitCode;
--- a/src/direct/internal.rs
+++ b/src/direct/internal.rs
@@ -10,7 +10,9 @@
 use serde_json::{Value, json};
 use sha2::Sha256;
 
+use super::dialect::Registration;
 use super::gossip::Secret;
+use super::notices::{RunId, Statements};
 use super::shared::Shared;
 use crate::code::Code;
 use crate::http::{Request, Respond, Response, buffered, json as json_response};
@@ -84,6 +86,25 @@
         }
     }
 
+    fn statements(&self, endpoint: &Registration) -> Statements {
+        let now = self.shared.now();
+        let run = RunId::of(endpoint);
+        self.shared
+            .notices
+            .with(|notices| notices.statements(now, run))
+    }
+
+    fn metrics(&self) -> String {
+        let view = self.shared.view();
+        let registrations = view.endpoints.iter().map(|e| &e.registration);
+        let said: Vec<Statements> = registrations.map(|r| self.statements(r)).collect();
+        let count = |is: fn(&Statements) -> bool| said.iter().filter(|s| is(s)).count();
+        let metrics = &self.shared.metrics;
+        metrics.record_endpoints("leaving", count(|s| s.is_leaving));
+        metrics.record_endpoints("paused", count(|s| s.pause_left.is_some()));
+        metrics.render()
+    }
+
     fn state(&self) -> Value {
         let view = self.shared.view();
         let now = self.shared.now();
@@ -94,12 +115,17 @@
             .iter()
             .map(|e| {
                 let id = &e.registration.id;
+                let said = self.statements(&e.registration);
                 json!({
                     "id": id,
                     "born": e.registration.started_at,
                     "service": e.registration.service,
                     "zone": e.registration.zone,
                     "usability": format!("{:?}", e.usability),
+                    "said": {
+                        "leaving": said.is_leaving,
+                        "paused_ms": said.pause_left,
+                    },
                     "holds": *e.holdings,
                     "in_flight_here": super::view::load_of(&own, id).requests,
                     "in_flight_elsewhere": super::view::load_of(&peer_loads, id).requests,
@@ -132,11 +158,7 @@
     async fn respond(self: Arc<Self>, req: Request) -> Response {
         match req.uri.path() {
             "/state" => json_response(StatusCode::OK, &self.state()),
-            "/metrics" => buffered(
-                StatusCode::OK,
-                "text/plain; version=0.0.4",
-                self.shared.metrics.render(),
-            ),
+            "/metrics" => buffered(StatusCode::OK, "text/plain; version=0.0.4", self.metrics()),
             CONFIGURATION_PATH => self.configuration(&req),
             path => match path.strip_prefix(PARTS_PATH) {
                 Some("") => self.parts(&req, ""),
--- a/src/direct/notices.rs
+++ b/src/direct/notices.rs
@@ -119,6 +119,15 @@
     }
 }
 
+/// What is known of one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Statements {
+    /// Whether it said that it leaves.
+    pub is_leaving: bool,
+    /// How much longer it wants no request from this gateway.
+    pub pause_left: Option<Millis>,
+}
+
 /// The statements of all endpoints, sorted by run.
 #[derive(Clone, Debug, Default)]
 pub struct Notices(Vec<Record>);
@@ -176,6 +185,18 @@
         self.record(run).is_some_and(|record| record.is_leaving)
     }
 
+    /// What is known of an endpoint.
+    pub fn statements(&self, now: Millis, run: RunId) -> Statements {
+        let Some(record) = self.record(run) else {
+            return Statements::default();
+        };
+        let pause = record.pause.map(|pause| pause.until.since(now));
+        Statements {
+            is_leaving: record.is_leaving,
+            pause_left: pause.filter(|left| *left > Millis::ZERO),
+        }
+    }
+
     /// The endpoints that are leaving.
     pub fn leaving(&self) -> impl Iterator<Item = RunId> {
         let leaving = self.0.iter().filter(|record| record.is_leaving);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,7 @@
     settings_hash: Gauge<u64>,
     rejected_settings: Counter<u64>,
     blocked_parts: Gauge<u64>,
+    endpoints: Gauge<u64>,
 }
 
 impl Metrics {
@@ -87,6 +88,10 @@
                 .u64_gauge("rattanstall.parts.blocked")
                 .with_description("Parts of prompts that are refused")
                 .build(),
+            endpoints: meter
+                .u64_gauge("rattanstall.endpoints")
+                .with_description("Endpoints by what they said of themselves")
+                .build(),
             registry,
             provider,
         })
@@ -148,6 +153,12 @@
         self.blocked_parts.record(parts as u64, &[]);
     }
 
+    /// Records how many endpoints said something of themselves.
+    pub fn record_endpoints(&self, said: &'static str, endpoints: usize) {
+        let labels = [KeyValue::new("said", said)];
+        self.endpoints.record(endpoints as u64, &labels);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
