--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -59,6 +59,8 @@
     pub outcome: Outcome,
     /// When the head of its response was written, and the status.
     pub answered: Option<(Millis, u16)>,
+    /// What the endpoint stated of itself at that time.
+    pub statements: Vec<(String, String)>,
 }
 
 impl ReceivedRequest {
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -149,6 +149,7 @@
             parts: req.parts(&lifecycle.parts_header),
             outcome: Outcome::Waiting,
             answered: None,
+            statements: Vec::new(),
         };
         let crashing_part = self.shared.crashing_part(&received.parts);
         let expected = header(&lifecycle.instance_header);
@@ -189,6 +190,7 @@
         let now = self.shared.now();
         if let Some(req) = self.shared.history().requests.get_mut(number) {
             req.answered = Some((now, status));
+            req.statements = lock(&self.shared.statements).clone();
         }
     }
 
