The rate that an endpoint names is kept over all gateways together

Change: one gateway, chosen for each endpoint by rendezvous hashing, grants the requests of all, a few at a time (direct/rate_owner); the table of statements asks for grants and holds them for 100 ms (direct/notices/limit). The same question right before sending covers retries, resumes, orders and reports. The owner counts its grants over 4.15 s, so that the limit itself holds in any 4 s. A gateway without an answer sends half of an even share. The newest rate counts, in doubt the lower one; it ends only by a response that was certainly written later. Requests go to endpoints without a limit first; if all that can serve are taken up, the caller is refused at once with the time of the next grant, or waits up to a third of its target for it. Placement doesn't count an endpoint that takes less than half of its usual rate as a place for models. One fault, though many files: each layer between the header and the question before sending has its part.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -36,6 +36,7 @@
 pub mod placement;
 pub mod queue;
 mod quota;
+pub mod rate_owner;
 pub mod rates;
 mod readiness;
 pub mod refusal;
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -19,7 +19,6 @@
 use super::internal::{PEER_TOKEN_HEADER, newer_configuration, peer_token};
 use super::ledger::ORDER_TIMEOUT;
 use super::members::Member;
-use super::notices::Permit;
 use super::queue::EventSender;
 use super::shared::Shared;
 use super::store::Store;
@@ -33,6 +32,8 @@
 const RETRY_DELAY: Millis = Millis(150);
 /// Renewals per lease duration; two of them may fail before the lease expires.
 const RENEWALS_PER_LEASE: u64 = 4;
+/// How long a call to an engine waits for a grant, if the engine takes a limited rate.
+const MAX_GRANT_WAIT: Millis = Millis(200);
 /// Timeout of a request for another gateway's configuration.
 const PULL_TIMEOUT: Millis = Millis(800);
 
@@ -252,9 +253,9 @@
         let answer = match self.registration_of(&endpoint) {
             Some(registration) => {
                 let req = dialect.order(&endpoint, &order);
-                let hear = |status, headers: &HeaderMap| {
+                let hear = |status, headers: &HeaderMap, sent_at| {
                     let head = dialect.read_response_head(status, headers);
-                    self.shared.hear_endpoint(&registration, &head);
+                    self.shared.hear_endpoint(&registration, &head, sent_at);
                 };
                 self.call_endpoint(&registration, req, hear).await
             }
@@ -279,8 +280,8 @@
         };
         let dialect = self.store.dialect();
         let head = Cell::new(None);
-        let hear = |status, headers: &HeaderMap| {
-            head.set(Some(dialect.read_response_head(status, headers)));
+        let hear = |status, headers: &HeaderMap, sent_at| {
+            head.set(Some((dialect.read_response_head(status, headers), sent_at)));
         };
         let answer = self.call_endpoint(&registration, dialect.report(), hear);
         let body = match answer.await {
@@ -295,9 +296,9 @@
             Ok(report) => {
                 // The call names no instance, so that another one may have answered.
                 if report.started_at == registration.started_at
-                    && let Some(head) = head.take()
+                    && let Some((head, sent_at)) = head.take()
                 {
-                    self.shared.hear_endpoint(&registration, &head);
+                    self.shared.hear_endpoint(&registration, &head, sent_at);
                 }
                 self.send_event(Event::Reported { endpoint, report });
             }
@@ -313,10 +314,24 @@
         &self,
         endpoint: &Registration,
         req: Call,
-        hear: impl FnOnce(StatusCode, &HeaderMap),
+        hear: impl FnOnce(StatusCode, &HeaderMap, Millis),
     ) -> Result<Option<(StatusCode, Bytes)>, ExchangeError> {
-        let may_send = || self.shared.notices.begin(self.shared.now(), endpoint) == Permit::Now;
-        let answer = call_endpoint(endpoint.address, req, ORDER_TIMEOUT, may_send, hear).await;
+        let sent_at = Cell::new(Millis::ZERO);
+        let may_send = async || {
+            let may_send = self.shared.take_permit(endpoint, MAX_GRANT_WAIT).await;
+            sent_at.set(self.shared.now());
+            may_send
+        };
+        let answer = call_endpoint(
+            endpoint.address,
+            req,
+            ORDER_TIMEOUT,
+            may_send,
+            |status, headers| {
+                hear(status, headers, sent_at.get());
+            },
+        )
+        .await;
         if let Ok(None) = answer {
             journal::write("order.held_back", &[("endpoint", (&endpoint.id).into())]);
         }
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -17,8 +17,10 @@
     pub version: Option<&'a str>,
     /// The gateway's availability zone.
     pub zone: &'a str,
-    /// Endpoints at which this request was already attempted.
+    /// Endpoints at which this request was already attempted, or that take none now.
     pub excluded: &'a [EndpointKey],
+    /// Endpoints that take a limited rate of requests.
+    pub limited: &'a [EndpointKey],
     /// Identifier of the session: its requests prefer the same endpoint.
     pub affinity: Option<u64>,
     /// How long the caller waits for the response to start.
@@ -40,7 +42,7 @@
 
 /// Time in which a busy engine completes as many requests as it has slots: the
 /// time to generate about 300 tokens in a full batch.
-const BATCH_DURATION: Millis = Millis(2_500);
+pub const BATCH_DURATION: Millis = Millis(2_500);
 /// Share of the response start timeout that a request may spend in an engine's
 /// queue, in percent.
 const MAX_QUEUE_WAIT_PERCENT: u64 = 60;
@@ -113,6 +115,10 @@
 /// retry or the response itself.
 const FAILURE_PENALTY: f32 = 200.0;
 
+/// Cost of an endpoint that takes a limited rate, in requests in flight. A request there
+/// waits for a grant, and uses up what requests need that no other endpoint can serve.
+const LIMITED_PENALTY: f32 = 30.0;
+
 /// Returns the endpoints that meet the criteria and are in the best tier that has
 /// any. The tiers are, best first: open and healthy, open and suspect, leaving and
 /// healthy, leaving and suspect.
@@ -164,6 +170,9 @@
         if c.view.registration.zone == criteria.zone {
             cost -= ZONE_BONUS;
         }
+        if criteria.limited.contains(&c.key) {
+            cost += LIMITED_PENALTY;
+        }
         if preferred == Some(c.key) {
             cost -= AFFINITY_BONUS;
         }
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -243,14 +243,14 @@
     address: SocketAddr,
     call: Request<Bytes>,
     within: Millis,
-    may_send: impl FnOnce() -> bool,
+    may_send: impl AsyncFnOnce() -> bool,
     hear: impl FnOnce(StatusCode, &HeaderMap),
 ) -> Result<Option<(StatusCode, Bytes)>, ExchangeError> {
     let limits = ENDPOINT_LIMITS;
     let exchange = async {
         let mut connection = Connection::open(address, within, limits).await?;
         connection.ready().await?;
-        if !may_send() {
+        if !may_send().await {
             return Ok(None);
         }
         let res = connection.send(with_host(call, address)).await?;
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod event;
+mod grants;
 mod leadership;
 mod limits;
 mod needs;
@@ -21,6 +22,7 @@
 use super::leader::{Leader, LeaderTerm};
 use super::members::Members;
 use super::notices::NoticeBoard;
+use super::rate_owner::{Grant, NamedRate, RateOwner};
 use super::rates::Rates;
 use super::registry::Registry;
 use super::settings::{Bounds, Settings};
@@ -66,6 +68,7 @@
     directory: Directory,
     notices: Arc<NoticeBoard>,
     notice_outbox: NoticeOutbox,
+    rate_owner: RateOwner,
     registry: Registry,
     members: Members,
     shares: Shares,
@@ -111,6 +114,7 @@
             directory: Directory::new(grace),
             notices: Arc::default(),
             notice_outbox: NoticeOutbox::default(),
+            rate_owner: RateOwner::default(),
             registry: Registry::default(),
             members: Members::new(settings.name.clone()),
             shares: Shares::default(),
@@ -235,6 +239,10 @@
             Event::ModelWanted(need) => self.model_wanted(now, need, &mut out),
             Event::StreamSought(id) => self.seek_stream(id, &mut out),
             Event::EndpointSaidLeaving(run) => self.endpoint_said_leaving(now, run, &mut out),
+            Event::LimitChanged(news) => self.limit_changed(news, &mut out),
+            Event::GrantsWanted { run, named, wanted } => {
+                self.grants_wanted(now, (run, named, wanted), &mut out)
+            }
             Event::EndpointCrashed(report) => self.endpoint_crashed(now, report, &mut out),
             Event::PartsProgressed(progress) => self.parts_progressed(now, progress),
             Event::PartsChecked(answered) => self.parts_checked(now, answered),
@@ -298,9 +306,11 @@
             if is_reachable {
                 self.welcome(now, &peer, out);
                 self.welcome_with_notices(&peer, out);
+                self.welcome_with_limits(&peer, out);
             }
         }
         self.tell_notices(out);
+        self.note_membership(now);
         self.relay_registry(now, out);
         self.catch_up(now, out);
         self.campaign(now, out);
@@ -435,6 +445,30 @@
             Message::PartProgress(told) => self.progress_told(now, told),
             Message::Blocks(blocks) => self.blocks_told(now, blocks, out),
             Message::Leaving(runs) => self.leaving_told(now, from, &runs, out),
+            Message::RateLimits(news) => self.limits_told(now, from, &news, out),
+            Message::GrantsWanted {
+                run,
+                rate,
+                sent_age,
+                heard_age,
+                wanted,
+            } => {
+                let named = NamedRate {
+                    rate,
+                    sent_at: Millis(now.0.saturating_sub(sent_age.0)),
+                    heard_at: Millis(now.0.saturating_sub(heard_age.0)),
+                };
+                self.grants_asked(now, from, (run, named, wanted), out)
+            }
+            Message::Grants {
+                run,
+                requests,
+                next_in,
+                wanted,
+            } => {
+                let grant = Grant { requests, next_in };
+                self.notices.granted(now, run, grant, wanted);
+            }
             Message::Registry(part) => self.registry_relayed(now, from, part, out),
             Message::Holdings(all) => {
                 let mut has_changed = false;
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -14,8 +14,9 @@
 use crate::direct::gossip::{Datagram, Message};
 use crate::direct::ledger::EngineCall;
 use crate::direct::members::Member;
-use crate::direct::notices::RunId;
+use crate::direct::notices::{LimitNews, RunId};
 use crate::direct::part_table::PartLists;
+use crate::direct::rate_owner::NamedRate;
 use crate::direct::settings::Bounds;
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
@@ -94,6 +95,17 @@
     ModelWanted(Need),
     /// A request goes on with a stream of which no record is known here.
     StreamSought(StreamId),
+    /// An endpoint said something new of the rate that it takes.
+    LimitChanged(LimitNews),
+    /// Requests wait for grants of an endpoint's rate.
+    GrantsWanted {
+        /// The endpoint.
+        run: RunId,
+        /// The rate that it named.
+        named: NamedRate,
+        /// The number of requests.
+        wanted: u32,
+    },
     /// An endpoint said for the first time that it leaves.
     EndpointSaidLeaving(RunId),
     /// An endpoint ended while it was about to answer requests of this gateway.
@@ -174,6 +186,8 @@
             Self::StreamSought(_) => "stream_sought",
             Self::EndpointCrashed(_) => "endpoint_crashed",
             Self::EndpointSaidLeaving(_) => "endpoint_said_leaving",
+            Self::LimitChanged(_) => "limit_changed",
+            Self::GrantsWanted { .. } => "grants_wanted",
             Self::PartsProgressed(_) => "parts_progressed",
             Self::PartsChecked(_) => "parts_checked",
             Self::BlockOrdered { .. } => "block_ordered",
--- a/src/direct/control/notices.rs
+++ b/src/direct/control/notices.rs
@@ -62,7 +62,7 @@
     /// The endpoints that requests may use, with what they said of themselves.
     pub(super) fn endpoint_views(&self, now: Millis) -> Vec<EndpointView> {
         let mut endpoints = self.directory.views(now);
-        self.notices.mark_leaving(&mut endpoints);
+        self.notices.mark(&mut endpoints);
         endpoints
     }
 
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 use http::Response;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::answer::UpstreamBody;
 use super::balance::{Criteria, candidates, choose};
@@ -30,6 +30,9 @@
 
 /// The most endpoints at which one request is attempted, whether they run it or not.
 const MAX_ATTEMPTS: usize = 3;
+/// How often an endpoint is chosen for one request that then takes none, before the request
+/// is refused if its time for a turn is over.
+const MAX_HELD_BACK: usize = 4;
 /// The longest wait for a model to be loaded: the time of one load from the
 /// weight store.
 const MAX_MODEL_WAIT: Millis = Millis(1_300);
@@ -38,6 +41,9 @@
 const MAX_STREAM_WAIT: Millis = Millis(2_600);
 /// The longest wait for an endpoint of a service without models to appear.
 const MAX_ENDPOINT_WAIT: Millis = Millis(500);
+/// How long an endpoint that said that it takes a limited rate is used less than others. A
+/// request after that finds out whether it still says so.
+const LIMIT_AVOIDED: Millis = Millis(1_000);
 /// `Retry-After` if no endpoint is known: an engine takes about this long to start
 /// or to load a model.
 const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(1_000);
@@ -107,6 +113,7 @@
         let mut last = no_endpoint();
         // A server error is passed to the caller if no later attempt succeeds.
         let mut failure = None;
+        let mut held_back = 0;
         while history.attempted.len() < MAX_ATTEMPTS {
             let is_retry = !history.attempted.is_empty();
             if is_retry && !self.try_take_retry(job) {
@@ -150,6 +157,12 @@
                 }
                 Attempt::HeldBack => {
                     history.attempted.pop();
+                    held_back += 1;
+                    let is_late = self.shared.now() >= job.turn_wait_end();
+                    if held_back >= MAX_HELD_BACK && is_late {
+                        last = Refusal::new(Code::Busy).retry_after(self.busy_retry_delay());
+                        break;
+                    }
                 }
                 Attempt::NotRun(code) => last = Refusal::new(code).retry_after(BUSY_RETRY_AFTER),
                 Attempt::Failed(code, verdict) => {
@@ -258,6 +271,11 @@
                     let busy = Refusal::new(Code::Busy);
                     return Err(busy.retry_after(self.busy_retry_delay()));
                 }
+                Choice::AllPaused(at) if at <= job.turn_wait_end() => {
+                    let wait = at.since(self.shared.now()).max(Millis(1));
+                    sleep(wait.as_duration()).await;
+                    continue;
+                }
                 Choice::AllPaused(at) => {
                     let wait = at.since(self.shared.now()) + self.return_spread();
                     return Err(Refusal::new(Code::Busy).retry_after(wait));
@@ -313,7 +331,7 @@
                 (key, notices.permit(now, run))
             });
             let held = permits.filter_map(|(key, permit)| match permit {
-                Permit::Now => None,
+                Permit::Now | Permit::Ask => None,
                 Permit::At(at) => Some((key, Some(at))),
                 Permit::Never => Some((key, None)),
             });
@@ -321,6 +339,17 @@
         })
     }
 
+    /// Endpoints that said lately that they take a limited rate.
+    fn limited(&self, now: Millis, fleet: &Fleet) -> Vec<EndpointKey> {
+        self.shared.notices.with(|notices| {
+            let limited = fleet.iter().filter(|(_, endpoint)| {
+                let limit = notices.limit(RunId::of(&endpoint.view.registration));
+                limit.is_some_and(|(_, heard_at)| now.since(heard_at) < LIMIT_AVOIDED)
+            });
+            limited.map(|(key, _)| key).collect()
+        })
+    }
+
     /// Whether there are endpoints of the request's service, and none of them will take
     /// it, even if it loads the model.
     fn are_all_leaving(&self, fleet: &Fleet, job: &Job, resume: &ResumePoint) -> bool {
@@ -345,12 +374,14 @@
         let held = self.held_back(now, &fleet);
         let mut excluded = history.attempted.clone();
         excluded.extend(held.iter().map(|(key, _)| *key));
+        let limited = self.limited(now, &fleet);
         let criteria = Criteria {
             service: &job.service,
             model: job.metadata.model.as_ref(),
             version: resume.version.as_deref(),
             zone: &self.shared.settings.zone,
             excluded: &excluded,
+            limited: &limited,
             affinity: job.metadata.session(),
             response_start_timeout: job.response_start_timeout,
             gateways: self.shared.gateway_count(),
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -18,13 +18,15 @@
 use crate::direct::fleet::{EndpointKey, InFlight};
 use crate::direct::framing::{BodyProgress, Framing};
 use crate::direct::job::Job;
-use crate::direct::notices::Permit;
 
 /// Time limit for connecting to an endpoint: a few round trips between zones. A
 /// lost SYN is retransmitted only after a second, so that trying another endpoint
 /// is faster.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
+/// How long a request waits for a grant, if its endpoint takes a limited rate.
+const MAX_GRANT_WAIT: Millis = Millis(200);
+
 /// How an attempt ended.
 pub(super) enum Attempt {
     /// The endpoint responded, possibly with a server error.
@@ -41,6 +43,7 @@
 /// A request that was sent to an endpoint.
 struct Sent {
     endpoint: Arc<Registration>,
+    sent_at: Millis,
     in_flight: InFlight,
     connection: Connection,
     run: Option<WatchedRun>,
@@ -105,22 +108,24 @@
                 return Attempt::NotRun(Code::NoEndpoint);
             }
         };
-        // Connecting took time.
-        if let Err(refusal) = job.check_parts(&self.shared) {
-            return Attempt::NotRun(refusal.code);
-        }
-        let now = self.shared.now();
-        if self.shared.notices.begin(now, &endpoint) != Permit::Now {
+        let max_wait = MAX_GRANT_WAIT.min(Millis(job.time_left(self.shared.now()).0 / 3));
+        if !self.shared.take_permit(&endpoint, max_wait).await {
             job.log("request.held_back", &[("endpoint", (&endpoint.id).into())]);
             self.keep_connection(key, connection);
             return Attempt::HeldBack;
         }
+        // Connecting took time.
+        if let Err(refusal) = job.check_parts(&self.shared) {
+            return Attempt::NotRun(refusal.code);
+        }
+        let sent_at = self.shared.now();
         let req = job.request_for(&self.shared, &endpoint.id, last_event_id);
         let run = self.crash_watch.watch(job, &endpoint, turn);
         match connection.send(req).await {
             Ok(res) => {
                 let sent = Sent {
                     endpoint,
+                    sent_at,
                     in_flight,
                     connection,
                     run,
@@ -183,6 +188,7 @@
     fn classify_response(&self, job: &Job, sent: Sent, res: Response<Incoming>) -> Attempt {
         let Sent {
             endpoint,
+            sent_at,
             in_flight,
             connection,
             mut run,
@@ -193,7 +199,7 @@
             .shared
             .dialect
             .read_response_head(res.status(), res.headers());
-        self.shared.hear_endpoint(&endpoint, &head);
+        self.shared.hear_endpoint(&endpoint, &head, sent_at);
         if head.is_misdirected || head.not_run {
             // The endpoint's load still counts this request.
             in_flight.update_endpoint(|e| e.health.record_data(now, e.load.requests > 1));
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -12,12 +12,14 @@
 
 use super::control::Need;
 use super::directory::Holdings;
-use super::notices::RunId;
+use super::notices::{LimitNews, RunId};
+use super::rate_owner::RequestRate;
 use super::registry::RegistryPart;
 use super::request::ModelRef;
 use super::streams::{StreamId, StreamRecord};
 use super::suspects::{Block, CrashReport, PartProgress};
 use super::view::LoadTable;
+use crate::clock::Millis;
 
 /// Length of the secret in bytes: the block size of SHA-256.
 pub const SECRET_BYTES: usize = 64;
@@ -126,6 +128,32 @@
     Blocks(Vec<Block>),
     /// Endpoints that said that they leave.
     Leaving(Vec<RunId>),
+    /// The rates that endpoints take.
+    RateLimits(Vec<LimitNews>),
+    /// Asks the owner of an endpoint's rate for requests.
+    GrantsWanted {
+        /// The endpoint.
+        run: RunId,
+        /// The rate as the sender knows it.
+        rate: RequestRate,
+        /// The time since the request was sent whose response named it.
+        sent_age: Millis,
+        /// The time since that response arrived.
+        heard_age: Millis,
+        /// The number of requests.
+        wanted: u32,
+    },
+    /// Grants requests to an endpoint.
+    Grants {
+        /// The endpoint.
+        run: RunId,
+        /// The number of requests that may be sent at once.
+        requests: u32,
+        /// When the next one can be granted.
+        next_in: Millis,
+        /// The number that was asked for.
+        wanted: u32,
+    },
 }
 
 impl Message {
@@ -147,15 +175,23 @@
             Self::PartProgress(_) => "peer_part_progress",
             Self::Blocks(_) => "peer_blocks",
             Self::Leaving(_) => "peer_leaving",
+            Self::RateLimits(_) => "peer_rate_limits",
+            Self::GrantsWanted { .. } => "peer_grants_wanted",
+            Self::Grants { .. } => "peer_grants",
         }
     }
 
-    /// Whether the message is about parts of prompts. These messages are handled before
-    /// others that wait, and are numbered apart from them therefore.
-    pub fn is_about_parts(&self) -> bool {
+    /// Whether the message is about parts of prompts, or requests wait for it. These
+    /// messages are handled before others that wait, and are numbered apart from them
+    /// therefore.
+    pub fn is_urgent(&self) -> bool {
         matches!(
             self,
-            Self::Crashes(_) | Self::PartProgress(_) | Self::Blocks(_)
+            Self::Crashes(_)
+                | Self::PartProgress(_)
+                | Self::Blocks(_)
+                | Self::GrantsWanted { .. }
+                | Self::Grants { .. }
         )
     }
 }
--- a/src/direct/internal.rs
+++ b/src/direct/internal.rs
@@ -102,6 +102,7 @@
         let metrics = &self.shared.metrics;
         metrics.record_endpoints("leaving", count(|s| s.is_leaving));
         metrics.record_endpoints("paused", count(|s| s.pause_left.is_some()));
+        metrics.record_endpoints("limited", count(|s| s.limit.is_some()));
         metrics.render()
     }
 
@@ -125,6 +126,7 @@
                     "said": {
                         "leaving": said.is_leaving,
                         "paused_ms": said.pause_left,
+                        "limit_per_s": said.limit.map(|rate| f64::from(rate.0) / 1_000.0),
                     },
                     "holds": *e.holdings,
                     "in_flight_here": super::view::load_of(&own, id).requests,
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -56,6 +56,8 @@
     pub _demand: Option<CountedDemand>,
 }
 
+/// The share of its target, and of its time, that a request may wait for its turn.
+const TURN_WAIT_DIVISOR: u64 = 3;
 /// The lowest priority that endpoints accept.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -65,6 +67,13 @@
         self.deadline.since(now)
     }
 
+    /// Until when it may wait for its turn at an endpoint: a refusal that comes later keeps
+    /// its caller from being in time elsewhere.
+    pub fn turn_wait_end(&self) -> Millis {
+        let longest = self.target.min(self.time_left(self.arrived));
+        self.arrived + Millis(longest.0 / TURN_WAIT_DIVISOR)
+    }
+
     /// Refuses the request if a part of its prompt is blocked by now.
     pub fn check_parts(&self, shared: &Shared) -> Result<(), Refusal> {
         refuse_blocked_part(shared, &self.metadata, self.is_logged)
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -7,6 +7,7 @@
 
 use super::balance::rendezvous_weight;
 use super::gossip::{Datagram, Message, ModelUsage, WorkspaceUsage};
+use super::notices::RunId;
 use super::shares::MemberUsage;
 use super::streams::{RECORD_COPIES, StreamId};
 use super::view::LoadTable;
@@ -29,6 +30,15 @@
     pub boot: u64,
 }
 
+/// The gateway that grants requests to an endpoint with a limited rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// This gateway.
+    Own,
+    /// The one at this address.
+    Other(SocketAddr),
+}
+
 /// The latest messages from a peer.
 #[derive(Clone, Debug, Default)]
 struct PeerReport {
@@ -36,8 +46,8 @@
     boot: u64,
     /// Sequence number of the last datagram.
     number: u64,
-    /// The same for messages about parts.
-    part_number: u64,
+    /// The same for urgent messages.
+    urgent_number: u64,
     received_at: Millis,
     version: u64,
     is_draining: bool,
@@ -90,7 +100,7 @@
             Ok(at) => {
                 self.peers[at].report.boot = 0;
                 self.peers[at].report.number = 0;
-                self.peers[at].report.part_number = 0;
+                self.peers[at].report.urgent_number = 0;
                 self.peers[at].report.loads.clear();
                 self.peers[at].report.limits = None;
                 self.peers[at].member = member;
@@ -135,6 +145,34 @@
         ahead.take(sponsors).count() < sponsors
     }
 
+    /// The owner of an endpoint's rate, among the gateways that stay and are heard. This
+    /// gateway says whether it is stopping itself.
+    pub fn owner_of(&self, now: Millis, run: RunId, is_draining: bool) -> Owner {
+        let weight = |name: &str| rendezvous_weight(run.0, name);
+        let best = self.staying(now).max_by_key(|p| weight(&p.member.name));
+        match best {
+            Some(best) if is_draining || weight(&best.member.name) > weight(&self.own_name) => {
+                Owner::Other(best.member.address)
+            }
+            _ => Owner::Own,
+        }
+    }
+
+    /// Identifies the set of gateways among which owners are chosen.
+    pub fn membership(&self, now: Millis, is_draining: bool) -> u64 {
+        let own = rendezvous_weight(u64::from(is_draining), &self.own_name);
+        let others = self.staying(now);
+        let weights = others.map(|p| rendezvous_weight(p.member.boot, &p.member.name));
+        weights.fold(own, u64::wrapping_add)
+    }
+
+    fn staying(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.iter().filter(|p| p.report.boot != 0);
+        peers.filter(move |p| {
+            !p.report.is_draining && now.since(p.report.received_at) < PEER_TIMEOUT
+        })
+    }
+
     /// Removes a gateway that is no longer registered. Returns its last reported usage
     /// unless it was draining.
     pub fn remove(&mut self, name: &str) -> Option<MemberUsage> {
@@ -156,8 +194,8 @@
         }
         let report = &mut peer.report;
         let is_new_start = report.boot != datagram.boot;
-        let last = match datagram.message.is_about_parts() {
-            true => &mut report.part_number,
+        let last = match datagram.message.is_urgent() {
+            true => &mut report.urgent_number,
             false => &mut report.number,
         };
         if !is_new_start && datagram.number <= *last {
--- a/src/direct/notices/board.rs
+++ b/src/direct/notices/board.rs
@@ -2,21 +2,52 @@
 
 use std::sync::{Mutex, MutexGuard};
 
-use super::{Notice, Notices, Permit, RunId};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+use super::{LimitChange, News, Notice, Notices, Permit, RunId};
 use crate::clock::Millis;
+use crate::direct::balance::BATCH_DURATION;
 use crate::direct::dialect::Registration;
+use crate::direct::rate_owner::{Grant, RequestRate};
 use crate::direct::view::{EndpointView, Usability};
 use crate::journal;
 
+/// An endpoint that takes less than its usual rate, divided by this, doesn't count as a
+/// place for models.
+const LIMITED_DIVISOR: u64 = 2;
+
+/// What a gateway heard of the rate that an endpoint takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// The endpoint.
+    pub run: RunId,
+    /// The rate; `None` if it takes any now.
+    pub rate: Option<RequestRate>,
+    /// The time since the request was sent whose response said so.
+    pub age: Millis,
+}
+
 /// The statements of all endpoints, shared by both threads.
 #[derive(Debug, Default)]
-pub struct NoticeBoard(Mutex<Notices>);
+pub struct NoticeBoard {
+    notices: Mutex<Notices>,
+    /// Wakes the requests that wait for grants.
+    answered: Notify,
+}
 
 impl NoticeBoard {
-    /// Records what a response of an endpoint stated. Returns whether it says for the
-    /// first time that the endpoint leaves.
-    pub fn hear(&self, now: Millis, endpoint: &Registration, notice: &Notice) -> bool {
-        let news = self.lock().hear(now, RunId::of(endpoint), notice);
+    /// Records what a response of an endpoint stated, to a request that was sent at
+    /// `sent_at`, and logs what is new.
+    pub fn hear(
+        &self,
+        now: Millis,
+        endpoint: &Registration,
+        notice: &Notice,
+        sent_at: Millis,
+    ) -> News {
+        let news = self.lock().hear(now, RunId::of(endpoint), notice, sent_at);
         let id = &endpoint.id;
         if news.is_leaving {
             journal::write(
@@ -39,7 +70,16 @@
                 &[("endpoint", id.into()), ("field", field.into())],
             );
         }
-        news.is_leaving
+        match news.limit {
+            Some(LimitChange::Named(rate)) => log_limit(id, rate, ""),
+            Some(LimitChange::Ended) => {
+                // Requests that wait for a grant need none any more.
+                self.answered.notify_waiters();
+                log_limit_end(id, "");
+            }
+            None => {}
+        }
+        news
     }
 
     /// Records that another gateway heard of endpoints that are leaving. Returns whether
@@ -50,7 +90,9 @@
             ..Notice::default()
         };
         let mut notices = self.lock();
-        let news = runs.iter().map(|run| notices.hear(now, *run, &notice));
+        let news = runs
+            .iter()
+            .map(|run| notices.hear(now, *run, &notice, Millis::ZERO));
         news.filter(|news| news.is_leaving).count() > 0
     }
 
@@ -60,8 +102,41 @@
     }
 
     /// Asks for the permit of a request that leaves now, if it is granted.
-    pub fn begin(&self, now: Millis, endpoint: &Registration) -> Permit {
-        self.lock().begin(now, RunId::of(endpoint))
+    pub fn begin(&self, now: Millis, endpoint: &Registration, gateways: usize) -> Permit {
+        self.lock().begin(now, RunId::of(endpoint), gateways)
+    }
+
+    /// Records the answer to a question for this many requests, and wakes those that wait.
+    pub fn granted(&self, now: Millis, run: RunId, grant: Grant, wanted: u32) {
+        self.lock().granted(now, run, grant, wanted);
+        self.answered.notify_waiters();
+    }
+
+    /// Completes when the next answer has been recorded.
+    pub fn answered(&self) -> Notified<'_> {
+        self.answered.notified()
+    }
+
+    /// Records what another gateway heard of the rates that endpoints take. Returns the
+    /// endpoints of which it is news.
+    pub fn learn_limits(&self, now: Millis, news: &[LimitNews]) -> Vec<LimitNews> {
+        let mut notices = self.lock();
+        let learnt = news.iter().filter(|news| {
+            let sent_at = Millis(now.0.saturating_sub(news.age.0));
+            notices.learn_limit(now, news.run, news.rate, sent_at)
+        });
+        learnt.copied().collect()
+    }
+
+    /// All endpoints that name a rate.
+    pub fn limits(&self) -> Vec<LimitNews> {
+        let notices = self.lock();
+        let limits = notices.limits().map(|(run, rate)| LimitNews {
+            run,
+            rate: Some(rate),
+            age: Millis::ZERO,
+        });
+        limits.collect()
     }
 
     /// Whether an endpoint said that it leaves.
@@ -74,12 +149,20 @@
         self.lock().leaving().collect()
     }
 
-    /// Marks the endpoints that said that they leave, whatever their registrations say.
-    pub fn mark_leaving(&self, endpoints: &mut [EndpointView]) {
+    /// Marks the endpoints that said that they leave, or that they take much less than
+    /// usual, whatever their registrations say.
+    pub fn mark(&self, endpoints: &mut [EndpointView]) {
         let notices = self.lock();
         for endpoint in endpoints {
-            if notices.is_leaving(RunId::of(&endpoint.registration)) {
+            let run = RunId::of(&endpoint.registration);
+            let limit = notices.limit(run).map(|(rate, _)| u64::from(rate.0));
+            let usual = u64::from(endpoint.registration.slots) * 1_000_000 / BATCH_DURATION.0;
+            if notices.is_leaving(run) {
                 endpoint.usability = Usability::Leaving;
+            } else if limit.is_some_and(|limit| limit * LIMITED_DIVISOR < usual)
+                && endpoint.usability == Usability::Open
+            {
+                endpoint.usability = Usability::Limited;
             }
         }
     }
@@ -91,6 +174,28 @@
 
     fn lock(&self) -> MutexGuard<'_, Notices> {
         // No holder leaves the table inconsistent, so that a panic need not spread.
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
+        self.notices.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
+
+/// Logs that an endpoint names a rate; `from` is the gateway that heard it, empty if this
+/// one.
+pub fn log_limit(endpoint: &str, rate: RequestRate, from: &str) {
+    let per_s = f64::from(rate.0) / 1_000.0;
+    journal::write(
+        "endpoint.limited",
+        &[
+            ("endpoint", endpoint.into()),
+            ("per_s", per_s.to_string().as_str().into()),
+            ("from", from.into()),
+        ],
+    );
+}
+
+/// Logs that an endpoint takes any rate again.
+pub fn log_limit_end(endpoint: &str, from: &str) {
+    journal::write(
+        "endpoint.limit_ended",
+        &[("endpoint", endpoint.into()), ("from", from.into())],
+    );
+}
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -58,12 +58,14 @@
         | Event::StoreLost
         | Event::StoreAnswered
         | Event::EndpointSaidLeaving(_)
+        | Event::LimitChanged(_)
+        | Event::GrantsWanted { .. }
         | Event::EndpointCrashed(_)
         | Event::PartsProgressed(_)
         | Event::PartsChecked(_)
         | Event::BlocksRecorded { .. }
         | Event::RecordFailed => Lane::Endpoints,
-        Event::Datagram(datagram) if datagram.message.is_about_parts() => Lane::Endpoints,
+        Event::Datagram(datagram) if datagram.message.is_urgent() => Lane::Endpoints,
         Event::Tick(_)
         | Event::Usage(_)
         | Event::Datagram(_)
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -7,10 +7,11 @@
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::control::Event;
 use super::dialect::{Dialect, Registration, ResponseHead};
-use super::notices::{NoticeBoard, RunId};
+use super::notices::{ANSWER_TIMEOUT, LimitChange, LimitNews, NoticeBoard, Permit, RunId};
 use super::part_table::PartTable;
 use super::queue::EventSender;
 use super::reload::LiveSettings;
@@ -157,12 +158,51 @@
 
     /// Records what a response says of its endpoint. One of another endpoint, which has
     /// the address now, says nothing of this one.
-    pub fn hear_endpoint(&self, endpoint: &Registration, head: &ResponseHead) {
+    /// The request was sent at `sent_at`.
+    pub fn hear_endpoint(&self, endpoint: &Registration, head: &ResponseHead, sent_at: Millis) {
         if head.is_misdirected {
             return;
         }
-        if self.notices.hear(self.now(), endpoint, &head.notice) {
-            self.send_event(Event::EndpointSaidLeaving(RunId::of(endpoint)));
+        let (now, run) = (self.now(), RunId::of(endpoint));
+        let news = self.notices.hear(now, endpoint, &head.notice, sent_at);
+        if news.is_leaving {
+            self.send_event(Event::EndpointSaidLeaving(run));
+        }
+        if let Some(change) = news.limit {
+            self.send_event(Event::LimitChanged(LimitNews {
+                run,
+                rate: match change {
+                    LimitChange::Named(rate) => Some(rate),
+                    LimitChange::Ended => None,
+                },
+                age: now.since(sent_at),
+            }));
+        }
+    }
+
+    /// Takes the permit of a request to an endpoint, right before it is sent. Waits for a
+    /// grant if the endpoint takes a limited rate, at most `max_wait`.
+    pub async fn take_permit(&self, endpoint: &Registration, max_wait: Millis) -> bool {
+        let run = RunId::of(endpoint);
+        let until = self.now() + max_wait;
+        loop {
+            let mut answered = std::pin::pin!(self.notices.answered());
+            answered.as_mut().enable();
+            let now = self.now();
+            match self.notices.begin(now, endpoint, self.gateway_count()) {
+                Permit::Now => return true,
+                Permit::At(_) | Permit::Never => return false,
+                Permit::Ask if now >= until => return false,
+                Permit::Ask => {}
+            }
+            if let Some((named, wanted)) = self.notices.with(|n| n.ask(now, run)) {
+                self.send_event(Event::GrantsWanted { run, named, wanted });
+            }
+            let left = until.since(now).min(ANSWER_TIMEOUT);
+            if timeout(left.as_duration(), answered).await.is_err() {
+                let now = self.now();
+                self.notices.with(|notices| notices.unanswered(now, run));
+            }
         }
     }
 
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -19,6 +19,8 @@
     /// It is shutting down, or its registration has recently expired. It receives
     /// requests only if no other endpoint can serve them.
     Leaving,
+    /// It takes much fewer requests than usual.
+    Limited,
 }
 
 /// An endpoint as the control thread knows it.
--- a/tests/direct_balance.rs
+++ b/tests/direct_balance.rs
@@ -57,6 +57,7 @@
         version: None,
         zone: "z",
         excluded: &[],
+        limited: &[],
         affinity: None,
         response_start_timeout: Millis(12_000),
         gateways,
--- a/tests/direct_notices.rs
+++ b/tests/direct_notices.rs
@@ -22,8 +22,12 @@
 const LEAVING: Notice = Notice {
     is_leaving: true,
     pause: None,
+    limit: None,
     invalid: None,
 };
+/// When requests were sent whose response is of no matter.
+const SENT: Millis = Millis::ZERO;
+const GATEWAYS: usize = 3;
 
 fn usability(control: &mut Control, now: Millis, id: &str) -> Option<Usability> {
     let endpoints = control.view(now).endpoints;
@@ -33,7 +37,7 @@
 
 fn heard(control: Control, endpoint: &Registration) -> (Control, Arc<NoticeBoard>) {
     let board = Arc::new(NoticeBoard::default());
-    assert!(board.hear(Millis(1), endpoint, &LEAVING));
+    assert!(board.hear(Millis(1), endpoint, &LEAVING, SENT).is_leaving);
     (control.with_notices(board.clone()), board)
 }
 
@@ -43,12 +47,12 @@
 fn a_statement_binds_the_run_that_made_it_and_no_other() {
     let mut notices = Notices::default();
     let run = RunId::new("e", 7);
-    assert!(notices.hear(Millis(1), run, &LEAVING).is_leaving);
+    assert!(notices.hear(Millis(1), run, &LEAVING, SENT).is_leaving);
     assert!(
-        !notices.hear(Millis(2), run, &LEAVING).is_leaving,
+        !notices.hear(Millis(2), run, &LEAVING, SENT).is_leaving,
         "no news"
     );
-    notices.hear(Millis(3), run, &Notice::default());
+    notices.hear(Millis(3), run, &Notice::default(), SENT);
     assert_eq!(notices.permit(Millis(4), run), Permit::Never);
     for other in [RunId::new("e", 8), RunId::new("f", 7)] {
         assert_eq!(notices.permit(Millis(4), other), Permit::Now);
@@ -60,7 +64,7 @@
 fn the_oldest_statements_are_dropped_when_there_are_too_many() {
     let mut notices = Notices::default();
     for n in 0..10_000 {
-        notices.hear(Millis(n), RunId::new("e", n), &LEAVING);
+        notices.hear(Millis(n), RunId::new("e", n), &LEAVING, SENT);
     }
     assert!(notices.leaving().count() <= 4_096);
     assert_eq!(
@@ -224,7 +228,7 @@
         let mut notices = Notices::default();
         let run = RunId::new("e", 1);
         for ms in times {
-            notices.hear(Millis(100), run, &pause(ms));
+            notices.hear(Millis(100), run, &pause(ms), SENT);
         }
         assert_eq!(
             notices.permit(Millis(3_099), run),
@@ -241,7 +245,7 @@
     let run = RunId::new("e", 1);
     let permit = |notice: &Notice| {
         let mut notices = Notices::default();
-        let news = notices.hear(Millis(5), run, notice);
+        let news = notices.hear(Millis(5), run, notice, SENT);
         (notices.permit(Millis(5), run), news)
     };
     assert_eq!(permit(&pause(0)).0, Permit::Now);
@@ -256,8 +260,12 @@
     assert_eq!(found, Permit::At(Millis(1_005)));
     assert_eq!(news.invalid, Some("field"));
     let mut notices = Notices::default();
-    notices.hear(Millis(5), run, &invalid);
-    assert_eq!(notices.hear(Millis(6), run, &invalid).invalid, None, "once");
+    notices.hear(Millis(5), run, &invalid, SENT);
+    assert_eq!(
+        notices.hear(Millis(6), run, &invalid, SENT).invalid,
+        None,
+        "once"
+    );
 }
 
 // Guards against a herd after a pause: all callers that the gateway has at that moment.
@@ -265,14 +273,14 @@
 fn requests_return_to_an_endpoint_in_growing_numbers_after_its_pause() {
     let mut notices = Notices::default();
     let run = RunId::new("e", 1);
-    notices.hear(Millis(0), run, &pause(1_000));
+    notices.hear(Millis(0), run, &pause(1_000), SENT);
     let mut sent = Vec::new();
     for now in 0..4_000 {
         // A thousand callers a second.
-        match notices.begin(Millis(now), run) {
+        match notices.begin(Millis(now), run, GATEWAYS) {
             Permit::Now => sent.push(now),
             Permit::At(at) => assert!(at > Millis(now) && at <= Millis(3_000)),
-            Permit::Never => panic!("it does not leave"),
+            Permit::Ask | Permit::Never => panic!("it names no limit and does not leave"),
         }
     }
     let within = |ms: u64| sent.iter().filter(|at| **at < 1_000 + ms).count();
@@ -282,8 +290,14 @@
     );
     assert_eq!(within(3_000) - within(2_000), 1_000);
     // A refusal among the first requests begins a new pause.
-    notices.hear(Millis(4_000), run, &pause(500));
-    assert_eq!(notices.begin(Millis(4_001), run), Permit::At(Millis(4_500)));
-    assert_eq!(notices.begin(Millis(4_500), run), Permit::Now);
-    assert_eq!(notices.begin(Millis(4_501), run), Permit::At(Millis(4_750)));
+    notices.hear(Millis(4_000), run, &pause(500), SENT);
+    assert_eq!(
+        notices.begin(Millis(4_001), run, GATEWAYS),
+        Permit::At(Millis(4_500))
+    );
+    assert_eq!(notices.begin(Millis(4_500), run, GATEWAYS), Permit::Now);
+    assert_eq!(
+        notices.begin(Millis(4_501), run, GATEWAYS),
+        Permit::At(Millis(4_750))
+    );
 }
--- a/tests/direct_parts.rs
+++ b/tests/direct_parts.rs
@@ -125,6 +125,7 @@
         version: None,
         zone: "z",
         excluded: &[],
+        limited: &[],
         affinity: None,
         response_start_timeout: Millis(2_000),
         gateways: 2,
--- a/tests/support/part_fleet.rs
+++ b/tests/support/part_fleet.rs
@@ -178,7 +178,7 @@
             number: sender.number,
             message,
         };
-        if datagram.message.is_about_parts() {
+        if datagram.message.is_urgent() {
             let size = check(&datagram);
             let counts = match is_broadcast {
                 true => &mut self.counts,
