--- a/standins/src/bin/rattanstall-experiment/main.rs
+++ b/standins/src/bin/rattanstall-experiment/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod overload;
 mod parts;
+mod rates;
 mod slopes;
 mod soak;
 mod streams;
@@ -18,7 +19,7 @@
     let options = [
         (
             "name",
-            "the experiment: answer, leader, limits, overload, parts, slopes, soak, streams",
+            "the experiment: answer, leader, limits, overload, parts, rates, slopes, soak, streams",
         ),
         ("seed", "seed of arrivals and failures (default 1)"),
         ("minutes", "real time of a soak (default 1)"),
@@ -42,6 +43,7 @@
         "limits" => limits::run(seed, seconds),
         "overload" => overload::run(seed, seconds),
         "parts" => parts::run(seed, seconds),
+        "rates" => rates::run(seed, seconds),
         "soak" => {
             let minutes = value(&args, "minutes", 1.0);
             if let Err(violation) = soak::run(value(&args, "seed", random_seed), minutes) {
@@ -54,7 +56,7 @@
         other => {
             eprintln!(
                 "--name: \"{other}\" is unknown; allowed: answer, leader, limits, overload, parts, \
-                 slopes, soak, streams"
+                 rates, slopes, soak, streams"
             );
             return ExitCode::from(2);
         }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod options;
 pub mod platform;
+pub mod rates;
 pub mod service;
 pub mod store;
 pub mod usage;
