An endpoint with a limit keeps its copies in the plan while it takes what callers want

Now the copies count while the rate covers the demand for the models that no endpoint without a limit holds; no new ones go there. Two tests on the leader's control state.

--- a/src/direct/leader/models.rs
+++ b/src/direct/leader/models.rs
@@ -9,12 +9,16 @@
 use crate::clock::Millis;
 use crate::direct::dialect::Operation;
 use crate::direct::document::EngineSpec;
+use crate::direct::gossip::ModelUsage;
 use crate::direct::placement::{
     Demand, Engine, LoadBudget, ModelCopy, Move, PlanInput, RequiredCopy, plan,
 };
 use crate::direct::view::{EndpointView, LoadTable, Usability, load_of};
 use crate::journal;
 
+/// Share of a limited rate that demand may take up before other engines get copies.
+const USABLE_RATE: f64 = 0.7;
+
 impl Leader {
     pub(super) fn run_placement(
         &mut self,
@@ -27,7 +31,10 @@
         let endpoints: Vec<&EndpointView> = input.endpoints.iter().filter(of_service).collect();
         let engines: Vec<Engine> = endpoints
             .iter()
-            .map(|e| self.engine_state(now, e, input.loads))
+            .map(|e| Engine {
+                is_open: is_enough(e, &endpoints, input.demand),
+                ..self.engine_state(now, e, input.loads)
+            })
             .collect();
         let demand: Vec<Demand> = spec
             .models
@@ -198,7 +205,8 @@
         Engine {
             id: registration.id.clone(),
             zone: registration.zone.clone(),
-            is_free: self.ledger.is_free(now, &registration.id),
+            is_free: self.ledger.is_free(now, &registration.id)
+                && endpoint.usability == Usability::Open,
             is_open: endpoint.usability == Usability::Open,
             copies,
             local_models: registration.local_models.clone(),
@@ -250,3 +258,22 @@
         found.map_or(now, |l| now.since(l.since))
     }
 }
+
+/// Whether an engine's copies count. Those of one that takes a limited rate do while the rate
+/// covers the demand for the models that no other engine serves without a limit.
+fn is_enough(engine: &EndpointView, all: &[&EndpointView], usage: &[ModelUsage]) -> bool {
+    let rate = match engine.usability {
+        Usability::Open => return true,
+        Usability::Leaving => return false,
+        Usability::Limited(rate) => rate,
+    };
+    let service = &engine.registration.service;
+    let is_served = |model: &str| {
+        let mut open = all.iter().filter(|e| e.usability == Usability::Open);
+        open.any(|e| e.holds_model(model))
+    };
+    let held = engine.holdings.iter().map(|resident| &resident.model);
+    let only_here = held.filter(|model| !is_served(model));
+    let per_s: f64 = only_here.map(|m| demand_of(usage, service, m).per_s).sum();
+    per_s * 1_000.0 <= f64::from(rate.0) * USABLE_RATE
+}
--- a/src/direct/notices/board.rs
+++ b/src/direct/notices/board.rs
@@ -14,8 +14,7 @@
 use crate::direct::view::{EndpointView, Usability};
 use crate::journal;
 
-/// An endpoint that takes less than its usual rate, divided by this, doesn't count as a
-/// place for models.
+/// An endpoint that takes less than its usual rate, divided by this, gets no new models.
 const LIMITED_DIVISOR: u64 = 2;
 
 /// What a gateway heard of the rate that an endpoint takes.
@@ -155,14 +154,15 @@
         let notices = self.lock();
         for endpoint in endpoints {
             let run = RunId::of(&endpoint.registration);
-            let limit = notices.limit(run).map(|(rate, _)| u64::from(rate.0));
+            let limit = notices.limit(run).map(|(rate, _)| rate);
             let usual = u64::from(endpoint.registration.slots) * 1_000_000 / BATCH_DURATION.0;
             if notices.is_leaving(run) {
                 endpoint.usability = Usability::Leaving;
-            } else if limit.is_some_and(|limit| limit * LIMITED_DIVISOR < usual)
+            } else if let Some(rate) = limit
+                && u64::from(rate.0) * LIMITED_DIVISOR < usual
                 && endpoint.usability == Usability::Open
             {
-                endpoint.usability = Usability::Limited;
+                endpoint.usability = Usability::Limited(rate);
             }
         }
     }
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -8,6 +8,7 @@
 
 use super::dialect::{Registration, Resident};
 use super::document::Document;
+use super::rate_owner::RequestRate;
 use super::request::ModelRef;
 use super::streams::VersionHistory;
 
@@ -19,8 +20,8 @@
     /// It is shutting down, or its registration has recently expired. It receives
     /// requests only if no other endpoint can serve them.
     Leaving,
-    /// It takes much fewer requests than usual.
-    Limited,
+    /// It takes this rate of requests only, much less than usual.
+    Limited(RequestRate),
 }
 
 /// An endpoint as the control thread knows it.
--- a/tests/direct_rate_owner.rs
+++ b/tests/direct_rate_owner.rs
@@ -12,14 +12,16 @@
 use rand_chacha::ChaCha8Rng;
 use rattanstall::clock::Millis;
 use rattanstall::direct::control::{Control, Effect, Event};
-use rattanstall::direct::gossip::Message;
+use rattanstall::direct::dialect::{Report, Resident};
+use rattanstall::direct::gossip::{Message, ModelUsage};
+use rattanstall::direct::ledger::EngineCall;
 use rattanstall::direct::notices::{
     LimitChange, LimitNews, Notice, NoticeBoard, Notices, Permit, RunId, Stated,
 };
 use rattanstall::direct::rate_owner::{Grant, NamedRate, RateOwner, RequestRate};
 use rattanstall::direct::view::Usability;
 
-use fleet::{GATEWAYS, from_peer, model, registered_gateway};
+use fleet::{ENGINES, GATEWAYS, elected_leader, from_peer, model, registered_gateway};
 use registration::registration;
 
 const RUN: RunId = RunId(7);
@@ -337,10 +339,9 @@
     assert_eq!(limit(), None);
 }
 
-// Guards against a model whose only endpoint takes next to nothing and that is loaded
-// nowhere else.
+// Guards against placement that takes an endpoint with a low limit for any other.
 #[test]
-fn an_endpoint_with_a_low_limit_is_no_place_for_models() {
+fn placement_knows_of_low_limits() {
     let usability = |per_s| {
         let (mut control, _) = limited(per_s);
         let view = control.view(Millis(10));
@@ -348,6 +349,77 @@
         found.expect("an endpoint").usability
     };
     // Four slots serve about 1.6 requests a second.
-    assert_eq!(usability(0.5), Usability::Limited);
+    assert_eq!(usability(0.5), Usability::Limited(rate(0.5)));
     assert_eq!(usability(5.0), Usability::Open);
 }
+
+/// The models whose load a leader orders within 6 s after an endpoint named a limit, while
+/// this many requests a second want each of its two models.
+fn loads(limit: f64, demand_per_s: u32) -> Vec<compact_str::CompactString> {
+    let board = Arc::new(NoticeBoard::default());
+    let limited = registration("e000", 1, &[&model(0), &model(ENGINES)]);
+    board.hear(Millis(1), &limited, &names(limit), Millis(0));
+    let mut control = elected_leader().with_notices(board);
+    let uses = [0, ENGINES].map(|number| ModelUsage {
+        service: "s".into(),
+        model: model(number),
+        milli_per_s: demand_per_s * 1_000,
+        took_ms: 500,
+    });
+    let (mut ordered, mut number) = (Vec::new(), 0);
+    for at in (2_000..8_000).step_by(50) {
+        number += 1;
+        let demand = Message::Demand {
+            is_first: true,
+            uses: uses.to_vec(),
+        };
+        control.reduce(Millis(at), from_peer(1, number, demand));
+        let mut effects = control.reduce(Millis(at), Event::Tick(Vec::new()));
+        while let Some(effect) = effects.pop() {
+            match effect {
+                Effect::ScheduleDecision => {
+                    effects.extend(control.reduce(Millis(at), Event::Decide));
+                }
+                Effect::CallEngine(EngineCall::Report(endpoint)) => {
+                    let number: usize = endpoint[1..].parse().expect("a number");
+                    let models = [number, number + ENGINES].map(|held| Resident {
+                        model: model(held),
+                        adapters: Vec::new(),
+                    });
+                    let report = Report {
+                        started_at: 1,
+                        models: models.to_vec(),
+                        ..Report::default()
+                    };
+                    let reported = Event::Reported { endpoint, report };
+                    effects.extend(control.reduce(Millis(at), reported));
+                }
+                Effect::CallEngine(EngineCall::Order { endpoint, order }) => {
+                    assert_ne!(endpoint, "e000", "an order to the limited endpoint");
+                    ordered.push(order.model);
+                }
+                _ => {}
+            }
+        }
+    }
+    ordered
+}
+
+// Guards against a model whose only endpoint takes less than callers want, and that is
+// loaded nowhere else.
+#[test]
+fn models_that_only_a_limited_endpoint_holds_are_loaded_elsewhere_if_it_takes_too_little() {
+    let ordered = loads(0.5, 2);
+    assert!(
+        ordered.contains(&model(0)) && ordered.contains(&model(ENGINES)),
+        "{ordered:?}"
+    );
+}
+
+// Guards against engines that all lose their copies in the plan when they name limits that
+// are high enough, so that models displace each other from the few that are left.
+#[test]
+fn a_limited_endpoint_that_takes_what_callers_want_keeps_its_models() {
+    let ordered = loads(1.5, 0);
+    assert!(ordered.is_empty(), "{ordered:?}");
+}
