Gateways tell each other of further ones while the store is away

They now learn of each other from those that know both, and drop who the store doesn't list once it is back.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -1,5 +1,6 @@
 //! The control state of a gateway: a reducer that takes events and returns effects.
 
+mod acquaintance;
 mod decisions;
 mod event;
 mod grants;
@@ -32,6 +33,7 @@
 use crate::clock::Millis;
 use crate::journal;
 
+use acquaintance::Acquaintances;
 use decisions::Decisions;
 pub use event::{Effect, Event, LeaderRecord, LocalUsage};
 pub use needs::Need;
@@ -69,6 +71,7 @@
     notices: Arc<NoticeBoard>,
     notice_outbox: NoticeOutbox,
     rate_owner: RateOwner,
+    acquaintances: Acquaintances,
     registry: Registry,
     members: Members,
     shares: Shares,
@@ -115,6 +118,7 @@
             notices: Arc::default(),
             notice_outbox: NoticeOutbox::default(),
             rate_owner: RateOwner::default(),
+            acquaintances: Acquaintances::default(),
             registry: Registry::default(),
             members: Members::new(settings.name.clone()),
             shares: Shares::default(),
@@ -310,6 +314,7 @@
             }
         }
         self.tell_notices(out);
+        self.tend_acquaintances(now, out);
         self.note_membership(now);
         self.relay_registry(now, out);
         self.catch_up(now, out);
@@ -445,6 +450,7 @@
             Message::PartProgress(told) => self.progress_told(now, told),
             Message::Blocks(blocks) => self.blocks_told(now, blocks, out),
             Message::Leaving(runs) => self.leaving_told(now, from, &runs, out),
+            Message::Members(members) => self.members_told(members, out),
             Message::RateLimits(news) => self.limits_told(now, from, &news, out),
             Message::GrantsWanted {
                 run,
--- a/src/direct/control/limits.rs
+++ b/src/direct/control/limits.rs
@@ -133,6 +133,7 @@
     pub(super) fn member_joined(&mut self, member: Member, out: &mut Vec<Effect>) {
         let name = member.name.clone();
         self.shares.member_returned(&name);
+        self.acquaintances.confirm(&name);
         if self.members.put(member) {
             out.push(Effect::CopyStreams { to: name });
         }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -12,6 +12,7 @@
 
 use super::control::Need;
 use super::directory::Holdings;
+use super::members::Member;
 use super::notices::{LimitNews, RunId};
 use super::rate_owner::RequestRate;
 use super::registry::RegistryPart;
@@ -154,6 +155,8 @@
         /// The number that was asked for.
         wanted: u32,
     },
+    /// Gateways that the sender knows, while the store is away.
+    Members(Vec<Member>),
 }
 
 impl Message {
@@ -178,6 +181,7 @@
             Self::RateLimits(_) => "peer_rate_limits",
             Self::GrantsWanted { .. } => "peer_grants_wanted",
             Self::Grants { .. } => "peer_grants",
+            Self::Members(_) => "peer_members",
         }
     }
 
--- a/tests/direct_rate_owner.rs
+++ b/tests/direct_rate_owner.rs
@@ -15,6 +15,7 @@
 use rattanstall::direct::dialect::{Report, Resident};
 use rattanstall::direct::gossip::{Message, ModelUsage};
 use rattanstall::direct::ledger::EngineCall;
+use rattanstall::direct::members::Member;
 use rattanstall::direct::notices::{
     LimitChange, LimitNews, Notice, NoticeBoard, Notices, Permit, RunId, Stated,
 };
@@ -423,3 +424,36 @@
     let ordered = loads(1.5, 0);
     assert!(ordered.is_empty(), "{ordered:?}");
 }
+
+// Guards against two gateways that each grant the whole limit, as they started when the
+// store went away and neither has read the other's registration.
+#[test]
+fn gateways_that_the_store_did_not_introduce_learn_of_each_other() {
+    let mut control = registered_gateway();
+    let stranger = Member {
+        name: "gw-stranger".into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        boot: 1,
+    };
+    let told = |number| from_peer(1, number, Message::Members(vec![stranger.clone()]));
+    control.reduce(Millis(1_000), told(1));
+    assert_eq!(control.members().count(), GATEWAYS, "the store answers");
+    for is_listed in [true, false] {
+        let mut control = registered_gateway();
+        control.reduce(Millis(2_000), Event::StoreLost);
+        let effects = control.reduce(Millis(2_050), Event::Tick(Vec::new()));
+        let is_told = |e: &&Effect| matches!(e, Effect::Send(_, Message::Members(_)));
+        assert!(effects.iter().filter(is_told).count() >= 3);
+        control.reduce(Millis(2_100), told(2));
+        assert_eq!(control.members().count(), GATEWAYS + 1);
+        control.reduce(Millis(3_000), Event::StoreAnswered);
+        if is_listed {
+            control.reduce(Millis(3_100), Event::MemberPut(stranger.clone()));
+        }
+        for at in [3_200, 9_000] {
+            control.reduce(Millis(at), Event::Tick(Vec::new()));
+        }
+        let expected = GATEWAYS + usize::from(is_listed);
+        assert_eq!(control.members().count(), expected, "listed: {is_listed}");
+    }
+}
