--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -110,6 +110,8 @@
     sent_bytes: AtomicU64,
     /// What the endpoint states of itself: headers of all its responses.
     statements: Mutex<Vec<(String, String)>>,
+    /// JSON documents at fixed paths, with their statuses.
+    pages: Mutex<Vec<(String, u16, serde_json::Value)>>,
     /// The answer to all requests, also to those that name one.
     forced_answer: Mutex<Option<Answer>>,
     crashing_parts: Mutex<Vec<u64>>,
@@ -177,6 +179,7 @@
             history: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
             statements: Mutex::default(),
+            pages: Mutex::default(),
             forced_answer: Mutex::default(),
             crashing_parts: Mutex::default(),
             crash_shape: Mutex::default(),
@@ -207,6 +210,13 @@
         *lock(&self.shared.forced_answer) = answer;
     }
 
+    /// Sets the answer to requests for a path. They are not recorded.
+    pub fn set_page(&self, path: &str, status: u16, document: serde_json::Value) {
+        let mut pages = lock(&self.shared.pages);
+        pages.retain(|(known, ..)| known != path);
+        pages.push((path.to_owned(), status, document));
+    }
+
     /// Sets what the endpoint states of itself from now on, as headers of all responses.
     pub fn set_statements(&self, headers: &[(&str, &str)]) {
         let headers = headers.iter();
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -122,10 +122,19 @@
                 Err(error) => self.write_json(400, &error.to_string()),
             },
             HISTORY_PATH => self.write_json(200, &self.shared.snapshot()),
-            _ => self.answer(req),
+            path => match self.page(path) {
+                Some((status, document)) => self.write_json(status, &document),
+                None => self.answer(req),
+            },
         }
     }
 
+    fn page(&self, path: &str) -> Option<(u16, serde_json::Value)> {
+        let pages = lock(&self.shared.pages);
+        let found = pages.iter().find(|(known, ..)| known == path);
+        found.map(|(_, status, document)| (*status, document.clone()))
+    }
+
     fn write_json<T: Serialize>(&mut self, status: u16, value: &T) -> io::Result<Next> {
         let text = serde_json::to_string(value)?;
         write!(
