A request whose adapter only limited endpoints hold waits for it elsewhere

Callers of adapters were refused while other endpoints held the model and could load the adapter within milliseconds: an adapter is usually at one endpoint only, and its first requests after the limit was named found all its holders taken up.

Cause: 'all that can serve want no request now' was taken for an answer; 'none can serve' tells the leader, which loads the adapter at an endpoint without a limit. Change: if the holders take a limited rate and another endpoint holds the model, the request does as if none could serve. Leaving endpoints did so before. A pause is this gateway's alone, and the leader doesn't know of it: requests for an adapter at a paused endpoint are still refused.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -15,14 +15,15 @@
 use super::buffers::BufferBudget;
 use super::control::{Event, Need};
 use super::crash_watch::{CrashWatch, Turn, Verdict};
-use super::fleet::{EndpointKey, Fleet, FleetCell};
+use super::fleet::{Endpoint, EndpointKey, Fleet, FleetCell};
 use super::job::Job;
 use super::notices::{Permit, RunId};
 use super::refusal::Refusal;
-use super::request::adapter_hash;
+use super::request::{ModelRef, adapter_hash};
 use super::resume::ResumePoint;
 use super::retry_budget::RetryBudget;
 use super::shared::Shared;
+use super::view::Usability;
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
 
@@ -71,7 +72,11 @@
     /// Every endpoint that can serve the request is full.
     AllFull,
     /// Every endpoint that can serve the request wants none before this time.
-    AllPaused(Millis),
+    AllPaused {
+        until: Millis,
+        /// Whether the leader would load the request's adapter at another endpoint.
+        is_movable: bool,
+    },
     /// Every endpoint that could serve the request is leaving.
     AllLeaving,
     /// No endpoint can serve the request.
@@ -271,12 +276,15 @@
                     let busy = Refusal::new(Code::Busy);
                     return Err(busy.retry_after(self.busy_retry_delay()));
                 }
-                Choice::AllPaused(at) if at <= job.turn_wait_end() => {
+                // The adapter is soon at another endpoint, as below.
+                Choice::AllPaused { is_movable, .. }
+                    if is_movable && history.attempted.is_empty() && self.shared.now() < until => {}
+                Choice::AllPaused { until: at, .. } if at <= job.turn_wait_end() => {
                     let wait = at.since(self.shared.now()).max(Millis(1));
                     sleep(wait.as_duration()).await;
                     continue;
                 }
-                Choice::AllPaused(at) => {
+                Choice::AllPaused { until: at, .. } => {
                     let wait = at.since(self.shared.now()) + self.return_spread();
                     return Err(Refusal::new(Code::Busy).retry_after(wait));
                 }
@@ -350,6 +358,33 @@
         })
     }
 
+    /// Whether the leader would load the adapter of a request elsewhere: an endpoint holds its
+    /// model, and those with the adapter take a limited rate. The leader knows of no pauses.
+    fn is_adapter_movable(
+        &self,
+        fleet: &Fleet,
+        criteria: &Criteria<'_>,
+        excluded: &[EndpointKey],
+    ) -> bool {
+        let Some(wanted) = criteria.model.filter(|model| model.adapter.is_some()) else {
+            return false;
+        };
+        let base = ModelRef {
+            adapter: None,
+            ..wanted.clone()
+        };
+        let with_base = Criteria {
+            model: Some(&base),
+            ..criteria.clone()
+        };
+        let is_limited =
+            |endpoint: &Endpoint| matches!(endpoint.view.usability, Usability::Limited(_));
+        let mut holders = fleet.iter().filter(|(_, e)| criteria.serves(e));
+        let mut others = fleet.iter().filter(|(_, e)| with_base.serves(e));
+        holders.all(|(_, e)| e.view.usability != Usability::Open)
+            && others.any(|(key, e)| !excluded.contains(&key) && !is_limited(e))
+    }
+
     /// Whether there are endpoints of the request's service, and none of them will take
     /// it, even if it loads the model.
     fn are_all_leaving(&self, fleet: &Fleet, job: &Job, resume: &ResumePoint) -> bool {
@@ -392,7 +427,10 @@
             let able = |key: &EndpointKey| fleet.get(*key).is_some_and(|e| criteria.serves(e));
             let paused = held.iter().filter(|(key, _)| able(key));
             return match paused.filter_map(|(_, at)| *at).min() {
-                Some(at) => Choice::AllPaused(at),
+                Some(until) => Choice::AllPaused {
+                    until,
+                    is_movable: self.is_adapter_movable(&fleet, &criteria, &excluded),
+                },
                 None if self.are_all_leaving(&fleet, job, resume) => Choice::AllLeaving,
                 None => Choice::NoCandidate,
             };
--- a/src/direct/rate_owner.rs
+++ b/src/direct/rate_owner.rs
@@ -1,6 +1,6 @@
 //! Grants requests to endpoints that name the rate which they take from all gateways.
 //!
-//! For each such endpoint one gateway, chosen by rendezvous hashing, grants the requests of
+//! For each such endpoint one gateway, selected by rendezvous hashing, grants the requests of
 //! all gateways one by one. So the rate is kept whatever gateway has the callers, also if
 //! it is less than one request for each gateway.
 
