--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -334,6 +334,9 @@
     /// from which one may.
     fn held_back(&self, now: Millis, fleet: &Fleet) -> Vec<(EndpointKey, Option<Millis>)> {
         self.shared.notices.with(|notices| {
+            if notices.is_empty() {
+                return Vec::new();
+            }
             let permits = fleet.iter().map(|(key, endpoint)| {
                 let run = RunId::of(&endpoint.view.registration);
                 (key, notices.permit(now, run))
@@ -350,6 +353,9 @@
     /// Endpoints that said lately that they take a limited rate.
     fn limited(&self, now: Millis, fleet: &Fleet) -> Vec<EndpointKey> {
         self.shared.notices.with(|notices| {
+            if notices.is_empty() {
+                return Vec::new();
+            }
             let limited = fleet.iter().filter(|(_, endpoint)| {
                 let limit = notices.limit(RunId::of(&endpoint.view.registration));
                 limit.is_some_and(|(_, heard_at)| now.since(heard_at) < LIMIT_AVOIDED)
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -162,9 +162,9 @@
         Some(fleet.get(key)?.view.registration.clone())
     }
 
-    /// Takes an idle connection or opens a new one, which then takes a request at once. A request that runs at most once
-    /// always gets a new one: an idle connection may already be closed by the
-    /// endpoint, or may still deliver a duplicate of an earlier response.
+    /// Takes an idle connection or opens a new one, which then takes a request at once. A
+    /// request that runs at most once always gets a new one: an idle connection may already
+    /// be closed by the endpoint, or may still deliver a duplicate of an earlier response.
     async fn connect(
         &self,
         job: &Job,
--- a/src/direct/notices.rs
+++ b/src/direct/notices.rs
@@ -219,6 +219,11 @@
         }
     }
 
+    /// Whether no endpoint has stated anything.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Whether a request may be sent to an endpoint.
     pub fn permit(&self, now: Millis, run: RunId) -> Permit {
         self.record(run).map_or(Permit::Now, |r| r.permit(now))
--- a/src/direct/notices/board.rs
+++ b/src/direct/notices/board.rs
@@ -152,6 +152,9 @@
     /// usual, whatever their registrations say.
     pub fn mark(&self, endpoints: &mut [EndpointView]) {
         let notices = self.lock();
+        if notices.is_empty() {
+            return;
+        }
         for endpoint in endpoints {
             let run = RunId::of(&endpoint.registration);
             let limit = notices.limit(run).map(|(rate, _)| rate);
