Registrations reach every gateway from others, at any fleet size

Cause: the relay of registrations ended at 64 gateways (`MAX_RELAY_GATEWAYS`); above, each gateway watched each write of each endpoint, and one that the store refused heard nothing. Below, one lost update ended the relay for a gateway that could not watch the store.

Change: updates go over two levels, groups by a hash of names; each repeats the changes of the last 500 ms; a gateway that is left out asks three others, also while the leader is refused. The age of news goes with it. Watches of one prefix pause 50 ms, or 1 ms a gateway. Registry messages are urgent, since they waited behind periodic ones. The message of older builds keeps its number and is ignored; mixed fleets watch the store.

`a_missed_message_makes_the_gateway_watch_the_store` is replaced: a lost update is repeated by the next one (stricter), and missed updates for longer than that still lead to the store.

Ruled out: raising the bound alone (the leader then sends 2,450 datagrams a second at 490).

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -26,7 +26,7 @@
 use super::notices::NoticeBoard;
 use super::rate_owner::{Grant, NamedRate, RateOwner};
 use super::rates::Rates;
-use super::registry::Registry;
+use super::registry::{Registry, RegistryChange};
 use super::settings::{Bounds, Settings};
 use super::shares::Shares;
 use super::streams::VersionHistory;
@@ -90,6 +90,10 @@
     parts: Parts,
     /// Number of loan requests so far; rotates the lenders.
     loan_requests: usize,
+    /// Number of registry updates sent so far; rotates the gateways that pass them on.
+    relayed_updates: usize,
+    /// Number of questions for registrations so far; rotates the gateways that are asked.
+    asked_for_registrations: usize,
     due: Due,
 }
 
@@ -134,6 +138,8 @@
             needs: Needs::default(),
             parts: Parts::default(),
             loan_requests: 0,
+            relayed_updates: 0,
+            asked_for_registrations: 0,
             due: Due::default(),
             settings,
         }
@@ -198,14 +204,13 @@
             Event::Tick(loads) => self.tick(now, loads, &mut out),
             Event::Usage(local) => self.record_usage(now, &local, &mut out),
             Event::Configuration(document) => self.configure(now, document, &mut out),
-            Event::Registrations(all) => {
-                let changes = self.directory.replace(now, all);
-                self.directory_changed(&changes, &mut out);
-            }
+            Event::Registrations(all) => self.registrations_read(now, all, &mut out),
             Event::Registered(registration) => {
-                self.endpoint_registered(now, registration, &mut out)
+                self.registry_changed(now, RegistryChange::Put(registration), &mut out)
+            }
+            Event::Deregistered(id) => {
+                self.registry_changed(now, RegistryChange::Removed(id), &mut out)
             }
-            Event::Deregistered(id) => self.endpoint_deregistered(now, id, &mut out),
             Event::RegistryRead {
                 revision,
                 is_full_list,
@@ -311,6 +316,7 @@
         self.tend_acquaintances(now, out);
         self.note_membership(now);
         self.relay_registry(now, out);
+        self.seek_registrations(now, out);
         self.catch_up(now, out);
         self.campaign(now, out);
         self.repeat_needs(now, out);
@@ -419,7 +425,10 @@
                 let grant = Grant { requests, next_in };
                 self.notices.granted(now, run, grant, wanted);
             }
-            Message::Registry(part) => self.registry_relayed(now, from, part, out),
+            Message::Registrations(update) => self.registrations_told(now, from, update, out),
+            Message::RegistrationsSought(revision) => {
+                self.registrations_sought(now, from, revision, out)
+            }
             Message::Holdings(all) => {
                 let mut has_changed = false;
                 for holdings in all {
@@ -436,8 +445,8 @@
             }
             // Handled by `Members::receive`.
             Message::Status { .. } | Message::Limits(_) | Message::Demand { .. } => {}
-            // The sender is of an older build; this gateway watches the store instead.
-            Message::RetiredRegistry => {}
+            // The sender is of an older build; this gateway asks others or watches the store.
+            Message::RetiredRegistry | Message::RetiredRelay(_) => {}
         }
     }
 }
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -238,6 +238,8 @@
     Broadcast(Message),
     /// Send a message to one gateway.
     Send(SocketAddr, Message),
+    /// Send a message to several gateways.
+    SendAll(Vec<SocketAddr>, Message),
     /// Tell other gateways of the streams that began here.
     AnnounceStreams,
     /// Tell a gateway that has just joined of the streams whose records it keeps.
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -83,7 +83,7 @@
             holder: name.clone(),
             revision: fence,
         });
-        self.registry.start_term();
+        self.registry.start_term(now);
         self.leader = Some(Leader::new(
             name,
             leader_term,
--- a/src/direct/control/relayed.rs
+++ b/src/direct/control/relayed.rs
@@ -1,15 +1,21 @@
-//! Endpoint registrations: changes from the store and changes relayed by the leader.
+//! Endpoint registrations: changes from the store, and changes that gateways pass on.
 
 use compact_str::CompactString;
 
 use super::{Control, Effect};
 use crate::clock::Millis;
 use crate::direct::dialect::Registration;
-use crate::direct::gossip::Message;
+use crate::direct::gossip::{Message, RegistryUpdate};
 use crate::direct::registry::{RegistryChange, RegistryPart};
 
+/// Number of gateways that are asked at once for what changed.
+const ASKED_GATEWAYS: usize = 3;
+/// Shortest pause between two watches of the same prefix of the store. What changes
+/// meanwhile comes with the next one.
+const MIN_WATCH_PAUSE: Millis = Millis(50);
+
 impl Control {
-    /// The revision up to which the leader has relayed all registrations, and how
+    /// The revision up to which other gateways told all registrations, and how
     /// long that is valid; `None` if this gateway has to watch the store itself.
     pub fn relay_progress(&self) -> Option<(u64, Millis)> {
         match self.leader {
@@ -18,7 +24,57 @@
         }
     }
 
-    pub(super) fn endpoint_registered(
+    /// The pause between two watches of the registrations: the leader's is short, as the
+    /// others hear of changes from it.
+    pub fn registry_watch_pause(&self) -> Millis {
+        match self.leader {
+            Some(_) => MIN_WATCH_PAUSE,
+            None => self.watch_pause(),
+        }
+    }
+
+    /// The pause between two watches of a prefix that all gateways watch. All together
+    /// they begin a thousand watches a second at most, however often it changes.
+    pub fn watch_pause(&self) -> Millis {
+        MIN_WATCH_PAUSE.max(Millis(self.members.count() as u64))
+    }
+
+    /// Applies a full list of registrations from the store.
+    pub(super) fn registrations_read(
+        &mut self,
+        now: Millis,
+        all: Vec<Registration>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.registry.queue_list(&all);
+        let changes = self.directory.replace(now, all);
+        self.directory_changed(&changes, out);
+    }
+
+    /// Applies a change that was read from the store.
+    pub(super) fn registry_changed(
+        &mut self,
+        now: Millis,
+        change: RegistryChange,
+        out: &mut Vec<Effect>,
+    ) {
+        self.registry.queue(change.clone());
+        self.apply_registry_change(now, change, out);
+    }
+
+    fn apply_registry_change(
+        &mut self,
+        now: Millis,
+        change: RegistryChange,
+        out: &mut Vec<Effect>,
+    ) {
+        match change {
+            RegistryChange::Put(registration) => self.endpoint_registered(now, registration, out),
+            RegistryChange::Removed(id) => self.endpoint_deregistered(now, id, out),
+        }
+    }
+
+    fn endpoint_registered(
         &mut self,
         now: Millis,
         registration: Registration,
@@ -26,64 +82,102 @@
     ) {
         let id = registration.id.clone();
         if !self.directory.has_current(&registration) {
-            if self.leader.is_some() {
-                self.registry
-                    .queue(RegistryChange::Put(registration.clone()));
-            }
             let change = self.directory.put(now, registration);
             self.directory_changed(change.as_slice(), out);
         }
         self.update_leader(now, &id, out);
     }
 
-    pub(super) fn endpoint_deregistered(
-        &mut self,
-        now: Millis,
-        id: CompactString,
-        out: &mut Vec<Effect>,
-    ) {
+    fn endpoint_deregistered(&mut self, now: Millis, id: CompactString, out: &mut Vec<Effect>) {
         let change = self.directory.remove(now, &id);
-        if self.leader.is_some() {
-            self.registry.queue(RegistryChange::Removed(id));
-        }
         self.directory_changed(change.as_slice(), out);
     }
 
-    /// Relays registration changes to the other gateways, if this one leads.
+    /// Sends the others what changed, if this gateway leads.
     pub(super) fn relay_registry(&mut self, now: Millis, out: &mut Vec<Effect>) {
         if self.leader_term(now).is_none() {
             return;
         }
-        let parts = self.registry.take_updates(now, self.members.count());
-        out.extend(
-            parts
-                .into_iter()
-                .map(|part| Effect::Broadcast(Message::Registry(part))),
-        );
+        let age = self.registry.age(now);
+        let parts = self.registry.take_updates(now);
+        if parts.is_empty() {
+            return;
+        }
+        self.relayed_updates += 1;
+        let (groups, distributors, others) = self.members.routes(now, self.relayed_updates);
+        for part in parts {
+            let update = |groups| RegistryUpdate {
+                groups,
+                age,
+                part: part.clone(),
+            };
+            let distributed = Message::Registrations(update(groups));
+            out.push(Effect::SendAll(distributors.clone(), distributed));
+            if !others.is_empty() {
+                let direct = Message::Registrations(update(0));
+                out.push(Effect::SendAll(others.clone(), direct));
+            }
+        }
     }
 
-    /// Applies registration changes that the leader relayed.
-    pub(super) fn registry_relayed(
+    /// Applies changes that another gateway told, and passes them on to the group of this
+    /// one if that was asked for.
+    pub(super) fn registrations_told(
         &mut self,
         now: Millis,
         from: &str,
-        part: RegistryPart,
+        update: RegistryUpdate,
         out: &mut Vec<Effect>,
     ) {
-        let is_leader = self
-            .leader_record
-            .as_ref()
-            .is_some_and(|r| r.holder == from);
-        if !is_leader || self.leader.is_some() {
-            return;
+        if update.groups > 0 {
+            let peers = self.members.group_peers(update.groups, from);
+            let passed_on = RegistryUpdate {
+                groups: 0,
+                ..update.clone()
+            };
+            out.push(Effect::SendAll(peers, Message::Registrations(passed_on)));
         }
-        for change in self.registry.receive(now, part) {
-            match change {
-                RegistryChange::Put(registration) => {
-                    self.endpoint_registered(now, registration, out)
-                }
-                RegistryChange::Removed(id) => self.endpoint_deregistered(now, id, out),
-            }
+        for change in self.registry.receive(now, from, update.part, update.age) {
+            self.apply_registry_change(now, change, out);
         }
     }
+
+    /// Asks a few gateways for what changed, if nobody has told for a while.
+    pub(super) fn seek_registrations(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let Some(revision) = self.registry.take_question(now) else {
+            return;
+        };
+        self.asked_for_registrations += 1;
+        let asked = self
+            .members
+            .sample(now, self.asked_for_registrations, ASKED_GATEWAYS);
+        out.push(Effect::SendAll(
+            asked,
+            Message::RegistrationsSought(revision),
+        ));
+    }
+
+    /// Answers a gateway that asks for what changed since a revision.
+    pub(super) fn registrations_sought(
+        &self,
+        now: Millis,
+        from: &str,
+        revision: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(to) = self.members.address_of(from) else {
+            return;
+        };
+        let age = self.registry.age(now);
+        let answer = |part: RegistryPart| {
+            let update = RegistryUpdate {
+                groups: 0,
+                age,
+                part,
+            };
+            Effect::Send(to, Message::Registrations(update))
+        };
+        let parts = self.registry.answer(now, revision);
+        out.extend(parts.into_iter().map(answer));
+    }
 }
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -80,9 +80,11 @@
             follow(store, events, RegistrationFollower { relay, clock })
         });
         let follows = (store, events.clone());
+        let relay = relay_progress.clone();
         spawn_restarting(move || {
             let (store, events) = follows.clone();
-            follow(store, events, FleetFollower)
+            let relay = relay.clone();
+            follow(store, events, FleetFollower { relay })
         });
         supervisor.spawn("tick", tick(self.shared.clone(), events));
         let mut control =
@@ -93,6 +95,7 @@
             let began = self.shared.now();
             let effects = control.reduce(began, event);
             relay_progress.set(control.relay_progress());
+            relay_progress.set_pauses(control.registry_watch_pause(), control.watch_pause());
             for effect in effects {
                 self.carry_out(&mut control, &calls, effect);
             }
@@ -130,6 +133,7 @@
                 calls.send(&to, message);
             }
             Effect::Send(to, message) => calls.send(&[to], message),
+            Effect::SendAll(to, message) => calls.send(&to, message),
             Effect::PullConfiguration(peer) => {
                 spawn_local(calls.clone().pull_configuration(peer, control.version()));
             }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -58,6 +58,18 @@
     pub took_ms: u32,
 }
 
+/// Changes of endpoint registrations, told by a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegistryUpdate {
+    /// The number of groups among which the gateways are divided: the receiver passes the
+    /// update on to the others of its group. It does not if there are 0.
+    pub groups: u16,
+    /// How long ago the store was as the update says.
+    pub age: Millis,
+    /// One of its parts.
+    pub part: RegistryPart,
+}
+
 /// A message from one gateway to others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -112,8 +124,9 @@
     RetiredRegistry,
     /// Models that engines hold, as the leader knows from orders and reports.
     Holdings(Vec<Holdings>),
-    /// Changes of endpoint registrations, sent by the leader.
-    Registry(RegistryPart),
+    /// Changes of endpoint registrations without their age, from leaders of older builds.
+    /// It is ignored, and holds its place.
+    RetiredRelay(RegistryPart),
     /// Tells the leader that a request goes on with a stream and waits for a model at
     /// an endpoint of one software version.
     WantedAtVersion(Need),
@@ -157,6 +170,10 @@
     },
     /// Gateways that the sender knows, while the store is away.
     Members(Vec<Member>),
+    /// Changes of endpoint registrations.
+    Registrations(RegistryUpdate),
+    /// Asks for the changes of endpoint registrations after a revision.
+    RegistrationsSought(u64),
 }
 
 impl Message {
@@ -172,7 +189,10 @@
             Self::Wanted { .. } | Self::WantedAtVersion(_) => "peer_wanted",
             Self::StreamSought(_) => "peer_stream_sought",
             Self::Streams(_) => "peer_streams",
-            Self::Registry(_) | Self::RetiredRegistry => "peer_registry",
+            Self::Registrations(_) | Self::RetiredRegistry | Self::RetiredRelay(_) => {
+                "peer_registry"
+            }
+            Self::RegistrationsSought(_) => "peer_registry_sought",
             Self::Holdings(_) => "peer_holdings",
             Self::Crashes(_) => "peer_crashes",
             Self::PartProgress(_) => "peer_part_progress",
@@ -185,9 +205,9 @@
         }
     }
 
-    /// Whether the message is about parts of prompts, or requests wait for it. These
-    /// messages are handled before others that wait, and are numbered apart from them
-    /// therefore.
+    /// Whether the message is about parts of prompts or registrations, or requests wait for
+    /// it. These messages are handled before others that wait, and are numbered apart from
+    /// them therefore.
     pub fn is_urgent(&self) -> bool {
         matches!(
             self,
@@ -196,6 +216,8 @@
                 | Self::Blocks(_)
                 | Self::GrantsWanted { .. }
                 | Self::Grants { .. }
+                | Self::Registrations(_)
+                | Self::RegistrationsSought(_)
         )
     }
 }
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::balance::rendezvous_weight;
+use super::fan_out::{group_count, group_of};
 use super::gossip::{Datagram, Message, ModelUsage, WorkspaceUsage};
 use super::notices::RunId;
 use super::shares::MemberUsage;
@@ -18,6 +19,9 @@
 const MAX_LOAD_AGE: Millis = Millis(1_000);
 /// How long a gateway counts as reachable after its last datagram.
 const PEER_TIMEOUT: Millis = Millis(1_500);
+/// Number of gateways of a group that pass messages on, in turn. Updates overlap, so that
+/// one of them may be lost without a gap.
+const DISTRIBUTORS: usize = 2;
 
 /// The registration of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -355,6 +359,47 @@
         self.pick(&self.peers.iter().collect::<Vec<_>>(), turn)
     }
 
+    /// A few of the reachable gateways, others at each turn.
+    pub fn sample(&self, now: Millis, turn: usize, count: usize) -> Vec<SocketAddr> {
+        let is_reachable = |p: &&Peer| now.since(p.report.received_at) < PEER_TIMEOUT;
+        let ranked = self.peers.iter().filter(is_reachable);
+        let seed = xxhash_rust::xxh3::xxh3_64_with_seed(self.own_name.as_bytes(), turn as u64);
+        top(ranked, count, seed)
+    }
+
+    /// How a message reaches all other gateways: the number of groups, the gateways that
+    /// pass it on in their group, and those to which it is sent directly, since their group
+    /// has no reachable gateway. At each turn others pass it on.
+    pub fn routes(&self, now: Millis, turn: usize) -> (u16, Vec<SocketAddr>, Vec<SocketAddr>) {
+        let groups = group_count(self.count());
+        if groups == 0 {
+            let all = self.peers.iter().map(|p| p.member.address);
+            return (0, all.collect(), Vec::new());
+        }
+        let (mut distributors, mut direct) = (Vec::new(), Vec::new());
+        for group in 0..groups {
+            let of_group = |p: &&Peer| group_of(&p.member.name, groups) == group;
+            let is_reachable = |p: &&Peer| now.since(p.report.received_at) < PEER_TIMEOUT;
+            let peers = self.peers.iter().filter(of_group);
+            let staying = peers.clone().filter(is_reachable);
+            let seed = xxhash_rust::xxh3::xxh3_64(self.own_name.as_bytes());
+            let best = top(staying, DISTRIBUTORS, seed);
+            match best.get(turn.checked_rem(best.len()).unwrap_or(0)) {
+                Some(distributor) => distributors.push(*distributor),
+                None => direct.extend(peers.map(|p| p.member.address)),
+            }
+        }
+        (groups, distributors, direct)
+    }
+
+    /// The other gateways of this one's group, except one.
+    pub fn group_peers(&self, groups: u16, except: &str) -> Vec<SocketAddr> {
+        let group = group_of(&self.own_name, groups);
+        let peers = self.peers.iter().filter(|p| p.member.name != except);
+        let peers = peers.filter(|p| group_of(&p.member.name, groups) == group);
+        peers.map(|p| p.member.address).collect()
+    }
+
     /// Picks a peer by turn. The turns of different gateways begin at different peers.
     fn pick<'a>(&self, peers: &[&'a Peer], turn: usize) -> Option<&'a Member> {
         let first = peers.partition_point(|p| p.member.name < self.own_name);
@@ -378,3 +423,11 @@
             .binary_search_by(|p| p.member.name.as_str().cmp(name))
     }
 }
+
+/// The first few peers in the order of a seed.
+fn top<'a>(peers: impl Iterator<Item = &'a Peer>, count: usize, seed: u64) -> Vec<SocketAddr> {
+    let mut ranked: Vec<&Peer> = peers.collect();
+    ranked.sort_unstable_by_key(|p| std::cmp::Reverse(rendezvous_weight(seed, &p.member.name)));
+    let first = ranked.into_iter().take(count);
+    first.map(|p| p.member.address).collect()
+}
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -45,7 +45,7 @@
     fn on_caught_up(&self, _revision: u64, _is_full_list: bool) -> Option<Event> {
         None
     }
-    /// The revision up to which the leader relays changes, if that is at least the
+    /// The revision up to which other gateways tell changes, if that is at least the
     /// given one: the store need not be watched then.
     fn relayed_up_to(&self, _revision: u64) -> Option<u64> {
         None
@@ -55,6 +55,10 @@
     fn known_revision(&self) -> u64 {
         0
     }
+    /// The pause between a response to a watch and the next watch.
+    fn pause(&self) -> Millis {
+        Millis::ZERO
+    }
     /// The changes of one response that have to be processed, in their order.
     fn relevant_changes(&self, items: Vec<Item>) -> Vec<Item> {
         items
@@ -117,20 +121,30 @@
     }
 }
 
-/// The relay progress, shared between control and the registration follower.
+/// What control says of the watches, shared with the followers.
 #[derive(Debug, Default)]
-pub struct RelayProgress(Cell<Option<(u64, Millis)>>);
+pub struct RelayProgress {
+    relayed: Cell<Option<(u64, Millis)>>,
+    registry_pause: Cell<Millis>,
+    fleet_pause: Cell<Millis>,
+}
 
 impl RelayProgress {
     /// Sets the revision up to which registrations are relayed, and until when that
     /// is valid.
     pub fn set(&self, relayed: Option<(u64, Millis)>) {
-        self.0.set(relayed);
+        self.relayed.set(relayed);
+    }
+
+    /// Sets the pauses between two watches of the registrations, and of the fleet's keys.
+    pub fn set_pauses(&self, registry: Millis, fleet: Millis) {
+        self.registry_pause.set(registry);
+        self.fleet_pause.set(fleet);
     }
 
     /// The revision up to which registrations are relayed; 0 if they are not.
     pub fn revision(&self) -> u64 {
-        self.0.get().map_or(0, |(revision, _)| revision)
+        self.relayed.get().map_or(0, |(revision, _)| revision)
     }
 }
 
@@ -155,10 +169,14 @@
     }
 
     fn relayed_up_to(&self, revision: u64) -> Option<u64> {
-        let (relayed, until) = self.relay.0.get()?;
+        let (relayed, until) = self.relay.relayed.get()?;
         (relayed >= revision && self.clock.now() < until).then_some(relayed)
     }
 
+    fn pause(&self) -> Millis {
+        self.relay.registry_pause.get()
+    }
+
     fn prefix(&self, store: &Store) -> CompactString {
         store.dialect().registrations_prefix().into()
     }
@@ -220,7 +238,10 @@
 }
 
 /// Follows the gateway registrations, the leader key and the blocked parts.
-pub struct FleetFollower;
+pub struct FleetFollower {
+    /// The pauses between watches.
+    pub relay: Rc<RelayProgress>,
+}
 
 impl FleetFollower {
     fn decode_member(item: &Item) -> Option<Member> {
@@ -248,6 +269,10 @@
         FLEET_PREFIX.into()
     }
 
+    fn pause(&self) -> Millis {
+        self.relay.fleet_pause.get()
+    }
+
     fn on_list(&self, _store: &Store, page: Page) -> Vec<Event> {
         let members = page.items.iter();
         let members = members.filter(|item| item.key.starts_with(MEMBER_PREFIX));
@@ -344,6 +369,7 @@
                 if let Some(event) = follower.on_caught_up(revision, false) {
                     events.send(event);
                 }
+                sleep(follower.pause().as_duration()).await;
             }
             Err(error) => {
                 log_failure(prefix, "watch", &error);
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -211,7 +211,7 @@
         }
         let news = self.log[gateway.followed as usize..].to_vec();
         gateway.followed = revision;
-        gateway.next_watch = now + watch_pause(&gateway.control).max(STEP_MS);
+        gateway.next_watch = now + gateway.control.registry_watch_pause().0.max(STEP_MS);
         *self.watches.entry(now / 1_000).or_default() += 1;
         for registration in news {
             self.reduce(at, Event::Registered(registration));
@@ -245,6 +245,10 @@
                 Effect::Send(to, message) => {
                     self.send(at, &[usize::from(to.port() - FIRST_PORT)], message);
                 }
+                Effect::SendAll(to, message) => {
+                    let to = to.iter().map(|to| usize::from(to.port() - FIRST_PORT));
+                    self.send(at, &to.collect::<Vec<_>>(), message);
+                }
                 _ => {}
             }
         }
@@ -276,8 +280,3 @@
 fn endpoint(number: u64) -> CompactString {
     format_compact!("e{number:03}")
 }
-
-/// The pause after a watch.
-fn watch_pause(_control: &Control) -> u64 {
-    0
-}
