Fewer calls of the store in outages, and a count of them by kind

Change: the delay grows to 1.6 s, and ends early when any call succeeds; renewals of the lease, which cost a tenth, find the store's return. First reads are spread by the fleet's size. Metric `rattanstall_store_calls` by kind, event `store.calls` each 10 s.

Not covered by a test without network: the loop in `sync::follow`.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -41,6 +41,7 @@
 use needs::Needs;
 use notices::NoticeOutbox;
 use parts::Parts;
+pub use relayed::Pauses;
 
 /// Interval between load reports in a fleet of up to [`STATUS_BASE_GATEWAYS`].
 const STATUS_INTERVAL: Millis = Millis(100);
--- a/src/direct/control/relayed.rs
+++ b/src/direct/control/relayed.rs
@@ -13,6 +13,22 @@
 /// Shortest pause between two watches of the same prefix of the store. What changes
 /// meanwhile comes with the next one.
 const MIN_WATCH_PAUSE: Millis = Millis(50);
+/// Lists that a gateway reads when the store returns, and the most that all gateways
+/// together read in a second then.
+const LISTS_PER_GATEWAY: u64 = 3;
+const MAX_LISTS_PER_S: u64 = 500;
+
+/// Pauses between calls of the store, by which the calls of all gateways together stay few.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pauses {
+    /// Between two watches of the gateways' own keys: all gateways together begin a
+    /// thousand a second at most, however often they change.
+    pub fleet: Millis,
+    /// Between two watches of the registrations.
+    pub registry: Millis,
+    /// The time over which the gateways spread their first reads when the store returns.
+    pub return_spread: Millis,
+}
 
 impl Control {
     /// The revision up to which other gateways told all registrations, and how
@@ -24,21 +40,21 @@
         }
     }
 
-    /// The pause between two watches of the registrations: the leader's is short, as the
-    /// others hear of changes from it.
-    pub fn registry_watch_pause(&self) -> Millis {
-        match self.leader {
-            Some(_) => MIN_WATCH_PAUSE,
-            None => self.watch_pause(),
+    /// The pauses between calls of the store at this size of the fleet.
+    pub fn pauses(&self) -> Pauses {
+        let gateways = self.members.count() as u64;
+        let fleet = MIN_WATCH_PAUSE.max(Millis(gateways));
+        Pauses {
+            fleet,
+            // The others hear of changes from the leader.
+            registry: match self.leader {
+                Some(_) => MIN_WATCH_PAUSE,
+                None => fleet,
+            },
+            return_spread: Millis(gateways * LISTS_PER_GATEWAY * 1_000 / MAX_LISTS_PER_S),
         }
     }
 
-    /// The pause between two watches of a prefix that all gateways watch. All together
-    /// they begin a thousand watches a second at most, however often it changes.
-    pub fn watch_pause(&self) -> Millis {
-        MIN_WATCH_PAUSE.max(Millis(self.members.count() as u64))
-    }
-
     /// Applies a full list of registrations from the store.
     pub(super) fn registrations_read(
         &mut self,
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -21,7 +21,7 @@
 use super::supervision::{Supervisor, spawn_restarting};
 use super::suspects::{PartId, PartProgress};
 use super::sync::{
-    ConfigurationFollower, FleetFollower, RegistrationFollower, RelayProgress, follow,
+    ConfigurationFollower, FleetFollower, Pace, RegistrationFollower, RelayProgress, follow,
 };
 use super::workload::Workload;
 use crate::bucket::{Bucket, BucketCell};
@@ -50,7 +50,8 @@
         .enable_all()
         .build()
         .map_err(|e| Error::io("starting the control runtime", e))?;
-    let store = Rc::new(Store::new(shared.settings.store, shared.dialect.clone()));
+    let (dialect, metrics) = (shared.dialect.clone(), shared.metrics.clone());
+    let store = Rc::new(Store::new(shared.settings.store, dialect, metrics));
     let driver = Driver { shared, events };
     LocalSet::new().block_on(&runtime, driver.drive(store, queue, supervisor));
     Ok(())
@@ -66,25 +67,24 @@
         let events = self.events.clone();
         let calls = BackgroundCalls::new(store.clone(), self.shared.clone(), events.clone());
         calls.start(supervisor);
-        let follows = (store.clone(), events.clone());
+        let pace = Rc::new(Pace::default());
+        let follows = (store.clone(), events.clone(), pace.clone());
         spawn_restarting(move || {
-            let (store, events) = follows.clone();
-            follow(store, events, ConfigurationFollower)
+            let (store, events, pace) = follows.clone();
+            follow(store, events, pace, ConfigurationFollower)
         });
         let relay_progress = Rc::new(RelayProgress::default());
-        let follows = (store.clone(), events.clone());
+        let follows = (store.clone(), events.clone(), pace.clone());
         let (relay, clock) = (relay_progress.clone(), self.shared.clock.clone());
         spawn_restarting(move || {
-            let (store, events) = follows.clone();
+            let (store, events, pace) = follows.clone();
             let (relay, clock) = (relay.clone(), clock.clone());
-            follow(store, events, RegistrationFollower { relay, clock })
+            follow(store, events, pace, RegistrationFollower { relay, clock })
         });
-        let follows = (store, events.clone());
-        let relay = relay_progress.clone();
+        let follows = (store.clone(), events.clone(), pace.clone());
         spawn_restarting(move || {
-            let (store, events) = follows.clone();
-            let relay = relay.clone();
-            follow(store, events, FleetFollower { relay })
+            let (store, events, pace) = follows.clone();
+            follow(store, events, pace, FleetFollower)
         });
         supervisor.spawn("tick", tick(self.shared.clone(), events));
         let mut control =
@@ -95,7 +95,8 @@
             let began = self.shared.now();
             let effects = control.reduce(began, event);
             relay_progress.set(control.relay_progress());
-            relay_progress.set_pauses(control.registry_watch_pause(), control.watch_pause());
+            pace.set(control.pauses());
+            store.log_if_due(began);
             for effect in effects {
                 self.carry_out(&mut control, &calls, effect);
             }
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::block_record;
-use super::control::{Event, LeaderRecord};
+use super::control::{Event, LeaderRecord, Pauses};
 use super::dialect::{Item, Page, StoreError};
 use super::members::Member;
 use super::queue::EventSender;
@@ -19,10 +19,12 @@
 /// How long a watch call waits for changes. A waiting watch counts as one call. A
 /// dead connection is detected earlier, by its keep-alive.
 const WATCH_TIMEOUT: Millis = Millis(10_000);
-/// Bounds of the delay after a failed list call. They keep the list calls of all
-/// gateways after an outage below the store's rate limit.
+/// Bounds of the delay after a failed call. It ends early when the store answers another
+/// call: renewals of the lease, which cost it least, are tried more often.
 const MIN_RETRY_DELAY: Millis = Millis(50);
-const MAX_RETRY_DELAY: Millis = Millis(400);
+const MAX_RETRY_DELAY: Millis = Millis(1_600);
+/// The delay is kept for one in this many parts of it in any case.
+const LEAST_DELAY_DIVISOR: u64 = 4;
 
 /// Interval between checks whether changes are still relayed: several checks fit the
 /// time for which the leader's last update is valid.
@@ -56,7 +58,7 @@
         0
     }
     /// The pause between a response to a watch and the next watch.
-    fn pause(&self) -> Millis {
+    fn pause(&self, _pauses: Pauses) -> Millis {
         Millis::ZERO
     }
     /// The changes of one response that have to be processed, in their order.
@@ -121,33 +123,26 @@
     }
 }
 
-/// What control says of the watches, shared with the followers.
+/// The relay progress, shared between control and the registration follower.
 #[derive(Debug, Default)]
-pub struct RelayProgress {
-    relayed: Cell<Option<(u64, Millis)>>,
-    registry_pause: Cell<Millis>,
-    fleet_pause: Cell<Millis>,
-}
+pub struct RelayProgress(Cell<Option<(u64, Millis)>>);
 
 impl RelayProgress {
     /// Sets the revision up to which registrations are relayed, and until when that
     /// is valid.
     pub fn set(&self, relayed: Option<(u64, Millis)>) {
-        self.relayed.set(relayed);
-    }
-
-    /// Sets the pauses between two watches of the registrations, and of the fleet's keys.
-    pub fn set_pauses(&self, registry: Millis, fleet: Millis) {
-        self.registry_pause.set(registry);
-        self.fleet_pause.set(fleet);
+        self.0.set(relayed);
     }
 
     /// The revision up to which registrations are relayed; 0 if they are not.
     pub fn revision(&self) -> u64 {
-        self.relayed.get().map_or(0, |(revision, _)| revision)
+        self.0.get().map_or(0, |(revision, _)| revision)
     }
 }
 
+/// The pauses between calls of the store, shared between control and the followers.
+pub type Pace = Cell<Pauses>;
+
 /// Follows the endpoint registrations.
 pub struct RegistrationFollower {
     /// The progress of the leader's relay.
@@ -169,12 +164,12 @@
     }
 
     fn relayed_up_to(&self, revision: u64) -> Option<u64> {
-        let (relayed, until) = self.relay.relayed.get()?;
+        let (relayed, until) = self.relay.0.get()?;
         (relayed >= revision && self.clock.now() < until).then_some(relayed)
     }
 
-    fn pause(&self) -> Millis {
-        self.relay.registry_pause.get()
+    fn pause(&self, pauses: Pauses) -> Millis {
+        pauses.registry
     }
 
     fn prefix(&self, store: &Store) -> CompactString {
@@ -238,10 +233,7 @@
 }
 
 /// Follows the gateway registrations, the leader key and the blocked parts.
-pub struct FleetFollower {
-    /// The pauses between watches.
-    pub relay: Rc<RelayProgress>,
-}
+pub struct FleetFollower;
 
 impl FleetFollower {
     fn decode_member(item: &Item) -> Option<Member> {
@@ -269,8 +261,8 @@
         FLEET_PREFIX.into()
     }
 
-    fn pause(&self) -> Millis {
-        self.relay.fleet_pause.get()
+    fn pause(&self, pauses: Pauses) -> Millis {
+        pauses.fleet
     }
 
     fn on_list(&self, _store: &Store, page: Page) -> Vec<Event> {
@@ -309,7 +301,12 @@
 
 /// Follows a prefix until the process ends: reads a full list, watches from its
 /// revision, and reads a new list whenever a watch fails.
-pub async fn follow<F: Follower>(store: Rc<Store>, events: EventSender, follower: F) {
+pub async fn follow<F: Follower>(
+    store: Rc<Store>,
+    events: EventSender,
+    pace: Rc<Pace>,
+    follower: F,
+) {
     let prefix = follower.prefix(&store);
     let mut retry_delay = MIN_RETRY_DELAY;
     loop {
@@ -318,7 +315,7 @@
             Err(error) => {
                 log_failure(&prefix, "read", &error);
                 events.send(Event::StoreLost);
-                sleep(retry_delay.as_duration()).await;
+                wait_for_return(&store, retry_delay, pace.get()).await;
                 retry_delay = Millis((retry_delay.0 * 2).min(MAX_RETRY_DELAY.0));
                 continue;
             }
@@ -338,13 +335,27 @@
         if let Some(event) = follower.on_caught_up(revision, true) {
             events.send(event);
         }
-        watch(&store, &events, &follower, &prefix, revision).await;
+        watch(&store, &events, &pace, &follower, &prefix, revision).await;
+        sleep(MIN_RETRY_DELAY.as_duration()).await;
+    }
+}
+
+/// Waits before a failed read is repeated: until the delay is over or, after a part of it,
+/// the store answers another call. All gateways notice that at about the same time.
+async fn wait_for_return(store: &Store, delay: Millis, pauses: Pauses) {
+    let least = Millis(delay.0 / LEAST_DELAY_DIVISOR);
+    sleep(least.as_duration()).await;
+    let rest = delay.since(least).as_duration();
+    if timeout(rest, store.answered()).await.is_ok() {
+        let spread = rand::random_range(0..=pauses.return_spread.0);
+        sleep(Millis(spread).as_duration()).await;
     }
 }
 
 async fn watch<F: Follower>(
     store: &Store,
     events: &EventSender,
+    pace: &Pace,
     follower: &F,
     prefix: &str,
     mut revision: u64,
@@ -369,7 +380,7 @@
                 if let Some(event) = follower.on_caught_up(revision, false) {
                     events.send(event);
                 }
-                sleep(follower.pause().as_duration()).await;
+                sleep(follower.pause(pace.get()).as_duration()).await;
             }
             Err(error) => {
                 log_failure(prefix, "watch", &error);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,7 @@
     rejected_settings: Counter<u64>,
     blocked_parts: Gauge<u64>,
     endpoints: Gauge<u64>,
+    store_calls: Counter<u64>,
 }
 
 impl Metrics {
@@ -92,6 +93,10 @@
                 .u64_gauge("rattanstall.endpoints")
                 .with_description("Endpoints by what they said of themselves")
                 .build(),
+            store_calls: meter
+                .u64_counter("rattanstall.store.calls")
+                .with_description("Calls of the store by kind and whether they succeeded")
+                .build(),
             registry,
             provider,
         })
@@ -159,6 +164,15 @@
         self.endpoints.record(endpoints as u64, &labels);
     }
 
+    /// Counts a call of the store.
+    pub fn count_store_call(&self, kind: &'static str, is_answered: bool) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("answered", is_answered),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
--- a/tests/direct_relay_fleet.rs
+++ b/tests/direct_relay_fleet.rs
@@ -8,6 +8,7 @@
 #[path = "support/relay_fleet.rs"]
 mod relay_fleet;
 
+use rattanstall::clock::Millis;
 use relay_fleet::RelayFleet;
 
 /// Half of the shortest drain time that operators set: for the other half, a gateway uses
@@ -82,6 +83,25 @@
     }
 }
 
+#[test]
+fn all_gateways_together_pace_their_calls_of_the_store() {
+    for gateways in [1, 4, 31, 68, 490] {
+        let pauses = RelayFleet::new(gateways, 0.0, 1).pauses(gateways - 1);
+        let begun_per_s = |pause: Millis| gateways as u64 * 1_000 / pause.0;
+        assert!(begun_per_s(pauses.fleet) <= 1_000, "{pauses:?}");
+        if gateways > 1 {
+            assert!(begun_per_s(pauses.registry) <= 1_000, "{pauses:?}");
+        }
+        // Each reads three lists at the store's return.
+        let lists = gateways as u64 * 3;
+        let spread_s = pauses.return_spread.as_duration().as_secs_f64();
+        assert!(
+            lists as f64 <= READS_PER_S as f64 * spread_s.max(1.0),
+            "{pauses:?}"
+        );
+    }
+}
+
 #[test]
 fn a_third_of_the_gateways_may_fall_silent() {
     for gateways in [31, 68] {
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rattanstall::clock::Millis;
-use rattanstall::direct::control::{Control, Effect, Event, LeaderRecord, LocalUsage};
+use rattanstall::direct::control::{Control, Effect, Event, LeaderRecord, LocalUsage, Pauses};
 use rattanstall::direct::dialect::{EndpointState, Registration};
 use rattanstall::direct::gossip::{Datagram, Message};
 use rattanstall::direct::view::Usability;
@@ -139,6 +139,11 @@
         unaware.collect()
     }
 
+    /// The pauses of a gateway between its calls of the store.
+    pub fn pauses(&self, number: usize) -> Pauses {
+        self.gateways[number].control.pauses()
+    }
+
     /// The most watches that returned within a second, all gateways together.
     pub fn peak_watches(&self, from_second: u64) -> u64 {
         let calm = self.watches.range(from_second..);
@@ -211,7 +216,7 @@
         }
         let news = self.log[gateway.followed as usize..].to_vec();
         gateway.followed = revision;
-        gateway.next_watch = now + gateway.control.registry_watch_pause().0.max(STEP_MS);
+        gateway.next_watch = now + gateway.control.pauses().registry.0.max(STEP_MS);
         *self.watches.entry(now / 1_000).or_default() += 1;
         for registration in news {
             self.reduce(at, Event::Registered(registration));
