A gateway that restarts within 1.5 s is welcomed again

The others' logs have no `peer.heard` after its restart, so that none told it what leaves.

Cause: `take_reachability_changes` compares with the last look. The new registration and the first datagram of the new process came between two looks, and it counted as reachable at both. The race is older; the pause between two watches made it likelier.

Change: a new boot counts as not heard before. Test red before: tests/direct_members.rs.

--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -107,6 +107,8 @@
                 self.peers[at].report.urgent_number = 0;
                 self.peers[at].report.loads.clear();
                 self.peers[at].report.limits = None;
+                // It is welcomed again, even if it is heard before the next look.
+                self.peers[at].was_reachable = false;
                 self.peers[at].member = member;
             }
             Err(at) => {
