--- a/src/direct/leader.rs
+++ b/src/direct/leader.rs
@@ -117,6 +117,8 @@
     ordered_loads: Vec<ModelAtEngine>,
     /// Models for which an unload at an engine makes room.
     reservations: Vec<ModelAtEngine>,
+    /// When requests for each model arrived last, sorted by service and model.
+    asked_at: Vec<(CompactString, CompactString, Millis)>,
     /// Number of announcements in this term.
     announcements: u64,
     state_logged_at: Millis,
@@ -151,6 +153,7 @@
             hidden: Vec::new(),
             ordered_loads: Vec::new(),
             reservations: Vec::new(),
+            asked_at: Vec::new(),
             announcements: 0,
             state_logged_at: Millis::ZERO,
             load_window,
--- a/src/direct/leader/models.rs
+++ b/src/direct/leader/models.rs
@@ -18,6 +18,8 @@
 
 /// Share of a limited rate that demand may take up before other engines get copies.
 const USABLE_RATE: f64 = 0.7;
+/// Rate that is assumed of a model that requests wait for while no gateway reports any.
+const MIN_WANTED_PER_S: f64 = 0.1;
 
 impl Leader {
     pub(super) fn run_placement(
@@ -39,7 +41,7 @@
         let demand: Vec<Demand> = spec
             .models
             .iter()
-            .map(|model| demand_of(input.demand, service, &model.name))
+            .map(|model| self.demand_for(now, input, service, &model.name))
             .collect();
         let loading = self.ledger.pending_orders();
         let loading = loading.filter(|o| o.operation == Operation::Load && o.adapter.is_none());
@@ -75,6 +77,36 @@
         actions
     }
 
+    /// The demand for a model. A request that waits for it counts before the gateways' next
+    /// reports.
+    fn demand_for(
+        &mut self,
+        now: Millis,
+        input: &LeaderInput<'_>,
+        service: &str,
+        model: &str,
+    ) -> Demand {
+        let mut demand = demand_of(input.demand, service, model);
+        let mut wanted = self.wanted_models.iter().map(|w| &w.need);
+        let is_wanted = wanted.any(|need| need.service == service && need.wanted.model == model);
+        if is_wanted && !demand.is_asked_for() {
+            demand.per_s = MIN_WANTED_PER_S;
+            demand.mean_duration_s = 1.0;
+        }
+        let at = self
+            .asked_at
+            .binary_search_by(|(s, m, _)| (s.as_str(), m.as_str()).cmp(&(service, model)));
+        match at {
+            Ok(at) if demand.is_asked_for() => self.asked_at[at].2 = now,
+            Ok(at) => demand.idle_for = now.since(self.asked_at[at].2),
+            // A new leader does not know how long the model was idle before.
+            Err(at) => self
+                .asked_at
+                .insert(at, (service.into(), model.into(), now)),
+        }
+        demand
+    }
+
     /// Copies that streams need at engines of the software version that began them.
     fn required_copies(&self, service: &str, endpoints: &[&EndpointView]) -> Vec<RequiredCopy> {
         let of_version =
@@ -211,6 +243,7 @@
             copies,
             local_models: registration.local_models.clone(),
             open_requests: load.requests,
+            slots: registration.slots,
             reserved_for: self.reserved_for(now, &registration.id),
         }
     }
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -1,18 +1,24 @@
 //! Decides which engine holds which model, from the demand for each model.
 //!
-//! Every model keeps at least one reachable copy. The remaining memory goes to the
-//! models with the most open requests per copy (their pressure), so that a model
-//! with rising demand gets further copies before its engines are full. A copy is
-//! replaced only if its model keeps another copy and the pressure of the new model
-//! is clearly higher.
+//! Models that are asked for get a copy each, those with the most demand first. The
+//! remaining memory goes to the models with the most open requests per copy (their
+//! pressure), so that a model with rising demand gets further copies before its engines
+//! are full. What is left holds the models that nobody asks for now. A copy is replaced
+//! if its model keeps another one and the pressure of the new model is clearly higher, or
+//! if its model is not asked for: where there are more models than places, idle ones
+//! yield, and are loaded again once they are asked for.
 
 mod budget;
+mod relocation;
+mod victims;
 
 use compact_str::CompactString;
 
 use super::document::{EngineSpec, ModelSpec};
 use crate::clock::Millis;
 
+use victims::{Room, STRAINED_SHARE, Victims};
+
 pub use budget::LoadBudget;
 
 /// Open requests per copy above which a model gets another copy. A batch of a few
@@ -24,10 +30,6 @@
 /// Upper bound of the request duration used for demand. Longer durations include
 /// queueing, which reflects missing copies and not the work of the requests.
 const MAX_DURATION_S: f64 = 3.0;
-/// Minimum time that a copy stays, several times its load time, unless a model
-/// without any copy needs the room.
-const MIN_RESIDENCY: Millis = Millis(4_000);
-
 /// Demand for one model, from the callers of all gateways.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Demand {
@@ -35,6 +37,8 @@
     pub per_s: f64,
     /// Mean duration of a request, in seconds.
     pub mean_duration_s: f64,
+    /// How long no request has arrived; zero while some do.
+    pub idle_for: Millis,
 }
 
 impl Demand {
@@ -42,6 +46,11 @@
     pub fn mean_open_requests(&self) -> f64 {
         self.per_s * self.mean_duration_s.min(MAX_DURATION_S)
     }
+
+    /// Whether requests arrive.
+    pub fn is_asked_for(&self) -> bool {
+        self.per_s > 0.0
+    }
 }
 
 /// A copy of a model at an engine.
@@ -59,6 +68,13 @@
     pub open_requests: u32,
 }
 
+impl ModelCopy {
+    /// Whether requests can use it.
+    fn is_serving(&self) -> bool {
+        self.is_settled && !self.is_leaving
+    }
+}
+
 /// An engine as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
@@ -77,6 +93,8 @@
     pub local_models: Vec<CompactString>,
     /// Its open requests from all gateways.
     pub open_requests: u32,
+    /// The number of requests that it runs concurrently.
+    pub slots: u32,
     /// The model for which a copy here was unloaded or is being unloaded.
     pub reserved_for: Option<CompactString>,
 }
@@ -140,7 +158,15 @@
         planner.add_required(required);
     }
     while let Some(model_idx) = planner.neediest() {
-        if !planner.add_copy(model_idx, None) && !planner.relocate_for(model_idx) {
+        let is_served = match planner.is_missing(model_idx) {
+            true => planner.add_copy(model_idx, None, Victims::Idle),
+            false => {
+                planner.add_copy(model_idx, None, Victims::Spare)
+                    || planner.relocate_for(model_idx)
+                    || planner.add_copy(model_idx, None, Victims::Idle)
+            }
+        };
+        if !is_served {
             planner.skipped[model_idx] = true;
         }
     }
@@ -151,10 +177,18 @@
 struct Planner<'a> {
     spec: &'a EngineSpec,
     engines: Vec<Engine>,
+    /// Free memory of each engine, in MB.
+    free_mb: Vec<f64>,
     demand: &'a [Demand],
     store_loads: usize,
     /// Number of copies by model, including pending loads and reserved places.
     copies: Vec<usize>,
+    /// Number of copies by model that requests can use now.
+    serving: Vec<usize>,
+    /// Whether the engines have less memory than all models need.
+    is_scarce: bool,
+    /// The number of requests that an engine runs concurrently.
+    slots: f64,
     /// Models for which nothing more can be done in this round.
     skipped: Vec<bool>,
     moves: Vec<Move>,
@@ -163,6 +197,13 @@
 impl<'a> Planner<'a> {
     fn new(input: &PlanInput<'a>) -> Self {
         let models = &input.spec.models;
+        let serving = models.iter().map(|model| {
+            let open = input.engines.iter().filter(|e| e.is_open);
+            let copies = open.flat_map(|e| &e.copies);
+            let serving = copies.filter(|c| c.model == model.name && c.is_serving());
+            serving.count()
+        });
+        let needed_mb: f64 = models.iter().map(|m| m.weight_mb).sum();
         let copies = models.iter().map(|model| {
             let open = input.engines.iter().filter(|e| e.is_open);
             let copies = open.flat_map(|e| &e.copies);
@@ -174,9 +215,17 @@
         Self {
             spec: input.spec,
             engines: input.engines.to_vec(),
+            free_mb: input
+                .engines
+                .iter()
+                .map(|engine| free_mb(input.spec, engine))
+                .collect(),
             demand: input.demand,
             store_loads: input.store_loads,
             copies: copies.collect(),
+            serving: serving.collect(),
+            slots: f64::from(input.engines.iter().map(|e| e.slots).max().unwrap_or(1)),
+            is_scarce: needed_mb > input.spec.weight_mb * input.engines.len() as f64,
             skipped: vec![false; models.len()],
             moves: Vec::new(),
         }
@@ -196,8 +245,13 @@
             };
             let model = &self.spec.models[model_idx];
             let is_from_store = !engine.local_models.contains(&model.name);
-            let has_room = free_mb(self.spec, engine) >= model.weight_mb;
-            if has_room && (self.store_loads > 0 || !is_from_store) {
+            if self.free_mb[engine_idx] < model.weight_mb {
+                let room = self.room_for(model_idx, engine_idx, true, Victims::Idle);
+                if let Some(Room::After { victim, .. }) = room {
+                    self.copies[model_idx] -= 1;
+                    self.unload(victim, model_idx, engine_idx);
+                }
+            } else if self.store_loads > 0 || !is_from_store {
                 self.copies[model_idx] -= 1;
                 self.load(model_idx, engine_idx);
             }
@@ -218,7 +272,8 @@
         }
     }
 
-    /// The model that needs a copy most. Models without a copy come first, by demand.
+    /// The model that needs a copy most: first those with the most open requests beyond
+    /// what their copies bear, then by pressure. Those that nobody asks for come last.
     fn neediest(&self) -> Option<usize> {
         let candidates = (0..self.copies.len()).filter(|model_idx| {
             let copies = self.copies[*model_idx];
@@ -227,15 +282,31 @@
             !self.skipped[*model_idx] && can_grow && needs_copy
         });
         candidates.max_by(|a, b| {
-            let rank = |model_idx: usize| {
-                let pressure = self.pressure(model_idx, self.copies[model_idx]);
-                (pressure, self.mean_open_requests(model_idx))
-            };
-            let (a, b) = (rank(*a), rank(*b));
+            let (a, b) = (self.need(*a), self.need(*b));
             a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
         })
     }
 
+    /// The open requests of a model that its copies can't bear, and its pressure.
+    fn need(&self, model_idx: usize) -> (f64, f64) {
+        if !self.is_asked_for(model_idx) {
+            return (0.0, 0.0);
+        }
+        let copies = self.copies[model_idx];
+        let open = self.mean_open_requests(model_idx);
+        let unborne = open - copies as f64 * self.slots * STRAINED_SHARE;
+        (unborne.max(0.0), self.pressure(model_idx, copies))
+    }
+
+    /// Whether requests arrive for a model without a copy.
+    fn is_missing(&self, model_idx: usize) -> bool {
+        self.copies[model_idx] == 0 && self.is_asked_for(model_idx)
+    }
+
+    fn is_asked_for(&self, model_idx: usize) -> bool {
+        self.demand.get(model_idx).is_some_and(Demand::is_asked_for)
+    }
+
     /// Adds a copy that streams need, unless one of the engines has it already.
     fn add_required(&mut self, required: &RequiredCopy) {
         let Some(model_idx) = self.model_index(&required.model) else {
@@ -249,13 +320,19 @@
             (is_held || is_reserved) && required.engines.contains(&engine.id)
         });
         if !has_copy {
-            self.add_copy(model_idx, Some(required));
+            let _ = self.add_copy(model_idx, Some(required), Victims::Spare)
+                || self.add_copy(model_idx, Some(required), Victims::Idle);
         }
     }
 
     /// Adds a copy at the engine with the lowest cost, one of the required engines if
     /// there are any. Returns false if no engine can take it.
-    fn add_copy(&mut self, model_idx: usize, required: Option<&RequiredCopy>) -> bool {
+    fn add_copy(
+        &mut self,
+        model_idx: usize,
+        required: Option<&RequiredCopy>,
+        victims: Victims,
+    ) -> bool {
         let spec = self.spec;
         let Some(model) = spec.models.get(model_idx) else {
             return false;
@@ -263,133 +340,27 @@
         let places = self.engines.iter().enumerate();
         let places = places.filter(|(_, e)| e.can_take(&model.name));
         let places = places.filter(|(_, e)| required.is_none_or(|r| r.engines.contains(&e.id)));
-        let is_urgent = required.is_some() || self.copies[model_idx] == 0;
+        let is_urgent = required.is_some() || self.is_missing(model_idx);
         let places = places.filter_map(|(engine_idx, engine)| {
             let is_from_store = !engine.local_models.contains(&model.name);
             if is_from_store && self.store_loads == 0 {
                 return None;
             }
-            let (victim, running) = self.victim_for(model_idx, model, engine, is_urgent)?;
-            let mut cost = self.move_cost(model, engine, victim, is_from_store);
-            // An unload waits for the requests that run there.
-            cost += f64::from(running);
-            Some((cost, engine_idx, victim))
+            let room = self.room_for(model_idx, engine_idx, is_urgent, victims)?;
+            let cost = self.move_cost(model, engine, &room, is_from_store);
+            Some((cost, engine_idx, room))
         });
         let best = places.min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, engine_idx, victim)) = best else {
+        let Some((_, engine_idx, room)) = best else {
             return false;
         };
-        match victim {
-            None => self.load(model_idx, engine_idx),
-            Some(victim) => self.unload(victim, model_idx, engine_idx),
+        match room {
+            Room::Free => self.load(model_idx, engine_idx),
+            Room::After { victim, .. } => self.unload(victim, model_idx, engine_idx),
         }
         true
     }
 
-    /// Chooses the model to unload so that another one fits at an engine, with the
-    /// open requests of its copy. Returns `Some((None, 0))` if there is room already
-    /// and `None` if no copy may be replaced. Requests wait for an urgent copy.
-    fn victim_for(
-        &self,
-        model_idx: usize,
-        model: &ModelSpec,
-        engine: &Engine,
-        is_urgent: bool,
-    ) -> Option<(Option<usize>, u32)> {
-        let free = free_mb(self.spec, engine);
-        if free >= model.weight_mb {
-            return Some((None, 0));
-        }
-        let new_pressure = self.pressure(model_idx, self.copies[model_idx] + 1);
-        let mut best: Option<(f64, usize, u32)> = None;
-        let settled = engine
-            .copies
-            .iter()
-            .filter(|c| c.is_settled && !c.is_leaving);
-        for copy in settled.filter(|c| is_urgent || c.age >= MIN_RESIDENCY) {
-            let Some(victim) = self.model_index(&copy.model) else {
-                continue;
-            };
-            let copies = self.copies[victim];
-            if copies < 2 {
-                continue;
-            }
-            let victim_pressure = self.pressure(victim, copies - 1);
-            let fits = free + self.spec.models[victim].weight_mb >= model.weight_mb;
-            let is_worth_it = is_urgent || victim_pressure * MIN_PRESSURE_RATIO < new_pressure;
-            // A copy whose unload alone does not free enough memory is chosen only if
-            // its model has less than one open request on average.
-            let is_allowed = is_worth_it && (fits || self.mean_open_requests(victim) < 1.0);
-            let cost = victim_pressure + f64::from(copy.open_requests);
-            if is_allowed && best.is_none_or(|(known, ..)| cost < known) {
-                best = Some((cost, victim, copy.open_requests));
-            }
-        }
-        best.map(|(_, victim, running)| (Some(victim), running))
-    }
-
-    /// Loads a second copy of a model elsewhere, so that its only copy can later be
-    /// unloaded for a model with higher pressure. Returns false if no such move is
-    /// worth it.
-    fn relocate_for(&mut self, model_idx: usize) -> bool {
-        let spec = self.spec;
-        let Some(model) = spec.models.get(model_idx) else {
-            return false;
-        };
-        if self.store_loads == 0 {
-            return false;
-        }
-        let new_pressure = self.pressure(model_idx, self.copies[model_idx] + 1);
-        let mut best: Option<(f64, usize, usize)> = None;
-        for (from, engine) in self.engines.iter().enumerate() {
-            if !engine.can_take(&model.name) {
-                continue;
-            }
-            let free = free_mb(spec, engine);
-            let settled = engine
-                .copies
-                .iter()
-                .filter(|c| c.is_settled && !c.is_leaving);
-            for copy in settled {
-                let Some(displaced) = self.model_index(&copy.model) else {
-                    continue;
-                };
-                let fits = free + spec.models[displaced].weight_mb >= model.weight_mb;
-                let is_worth_it =
-                    self.mean_open_requests(displaced) * MIN_PRESSURE_RATIO < new_pressure;
-                if self.copies[displaced] != 1 || !fits || !is_worth_it {
-                    continue;
-                }
-                let Some(to) = self.best_fit(displaced, from) else {
-                    continue;
-                };
-                let cost = f64::from(copy.open_requests) + self.mean_open_requests(displaced);
-                if best.is_none_or(|(known, ..)| cost < known) {
-                    best = Some((cost, displaced, to));
-                }
-            }
-        }
-        let Some((_, displaced, to)) = best else {
-            return false;
-        };
-        self.load(displaced, to);
-        // The room becomes available in a later round.
-        self.skipped[model_idx] = true;
-        true
-    }
-
-    /// The engine with the least free memory that still fits a model (best fit).
-    fn best_fit(&self, model_idx: usize, except: usize) -> Option<usize> {
-        let model = &self.spec.models[model_idx];
-        let places = self.engines.iter().enumerate();
-        let places =
-            places.filter(|(engine_idx, e)| *engine_idx != except && e.can_take(&model.name));
-        let places = places.map(|(engine_idx, e)| (free_mb(self.spec, e), engine_idx));
-        let places = places.filter(|(free, _)| *free >= model.weight_mb);
-        let best = places.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, engine_idx)| engine_idx)
-    }
-
     /// Starts to load a model at an engine.
     fn load(&mut self, model_idx: usize, engine_idx: usize) {
         let model = &self.spec.models[model_idx];
@@ -397,6 +368,7 @@
         let is_from_store = !engine.local_models.contains(&model.name);
         self.copies[model_idx] += 1;
         self.store_loads -= usize::from(is_from_store).min(self.store_loads);
+        self.free_mb[engine_idx] -= model.weight_mb;
         engine.is_free = false;
         engine.copies.push(ModelCopy {
             model: model.name.clone(),
@@ -418,7 +390,8 @@
     fn unload(&mut self, victim: usize, for_model: usize, engine_idx: usize) {
         let engine = &mut self.engines[engine_idx];
         engine.is_free = false;
-        self.copies[victim] -= 1;
+        self.copies[victim] = self.copies[victim].saturating_sub(1);
+        self.serving[victim] = self.serving[victim].saturating_sub(1);
         // The place is reserved: counting it as a copy keeps this round and later
         // ones from clearing another place for the same model.
         self.copies[for_model] += 1;
@@ -437,12 +410,15 @@
         &self,
         model: &ModelSpec,
         engine: &Engine,
-        victim: Option<usize>,
+        room: &Room,
         is_from_store: bool,
     ) -> f64 {
         let mut cost = f64::from(engine.open_requests) / 8.0;
-        if let Some(victim) = victim {
-            cost += 4.0 + self.pressure(victim, self.copies[victim].saturating_sub(1));
+        if let Room::After {
+            cost: of_victim, ..
+        } = room
+        {
+            cost += 4.0 + of_victim;
         }
         if is_from_store {
             cost += 3.0;
