A store that comes back from an older copy takes nothing back

Cause: revisions were one number without the era, so that after a restore followers and the relay waited for revisions that the store had given out before; leases, the leader key and the secret were taken as still there; fences could go back; a list could revive endpoints that had left.

Era and revision are one number inside; the store's client alone takes it apart, so that followers, relay, fences and conditions are ordered without further changes.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod document;
 mod driver;
+pub mod era;
 pub mod fan_out;
 pub mod fleet;
 mod forward;
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -9,7 +9,7 @@
 use compact_str::{CompactString, format_compact};
 use http::{HeaderMap, StatusCode};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::block_record;
 use super::connection::{CALL_LIMITS, CallClient, ExchangeError, call, call_endpoint};
@@ -81,9 +81,9 @@
     async fn maintain_lease(self: Rc<Self>) {
         loop {
             match self.open_lease().await {
-                Ok(lease) => {
+                Ok((lease, era)) => {
                     self.lease.set(Some(lease));
-                    self.renew_until_lost(lease).await;
+                    self.renew_until_lost(lease, era).await;
                     if self.lease.take().is_none() {
                         // `end_lease` took it because the process is stopping.
                         return;
@@ -98,12 +98,15 @@
         }
     }
 
-    async fn open_lease(&self) -> Result<Lease, StoreError> {
+    /// Opens a lease and registers this gateway. Returns the lease with its era.
+    async fn open_lease(&self) -> Result<(Lease, u64), StoreError> {
+        self.restore_secret().await?;
         let sent_at = self.shared.now();
         let lease = self
             .store
             .open_lease(self.shared.settings.bounds.lease)
             .await?;
+        let era = self.store.era();
         let member = Member {
             name: self.shared.settings.name.clone(),
             address: self.shared.settings.internal,
@@ -117,24 +120,53 @@
             puts: vec![(key, Bytes::from(value), lease.id)],
         };
         self.store.commit(&transaction).await?;
+        if self.store.era() != era {
+            return Err(StoreError::Restored);
+        }
         journal::write(
             "lease.opened",
             &[("lease", lease.id.into()), ("ttl_ms", lease.ttl.into())],
         );
         self.send_event(Event::LeaseHeld(sent_at + lease.ttl));
-        Ok(lease)
+        Ok((lease, era))
+    }
+
+    /// Writes the gateways' secret again if the store came back from a copy without it, so
+    /// that gateways which start from now on use the same.
+    async fn restore_secret(&self) -> Result<(), StoreError> {
+        let Some(secret) = self.secret.get().filter(|_| self.store.was_restored()) else {
+            return Ok(());
+        };
+        match self.write_secret(&secret).await {
+            Ok(()) | Err(StoreError::Conflict) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn write_secret(&self, secret: &Secret) -> Result<(), StoreError> {
+        let transaction = Transaction {
+            expected: vec![(SECRET_KEY.into(), 0)],
+            puts: vec![(SECRET_KEY.into(), Bytes::copy_from_slice(secret), 0)],
+        };
+        self.store.commit(&transaction).await.map(drop)
     }
 
-    /// Renews a lease until the store reports that it no longer exists.
-    async fn renew_until_lost(&self, lease: Lease) {
+    /// Renews a lease until the store reports that it no longer exists. In a new era it
+    /// may belong to somebody else.
+    async fn renew_until_lost(&self, lease: Lease, era: u64) {
         let interval = Millis(lease.ttl.0 / RENEWALS_PER_LEASE);
         let mut held_until = self.shared.now() + lease.ttl;
         loop {
-            sleep(interval.as_duration()).await;
+            let renewed_in = timeout(interval.as_duration(), self.store.new_era()).await;
+            if renewed_in.is_ok() || self.store.era() != era {
+                journal::write("lease.ended", &[("lease", lease.id.into())]);
+                return;
+            }
             // The store counts from the arrival of the call, so the lease runs for at
             // least its whole duration from here.
             let sent_at = self.shared.now();
             match self.store.renew_lease(lease.id).await {
+                Ok(()) if self.store.era() != era => {}
                 Ok(()) => {
                     held_until = sent_at + lease.ttl;
                     self.send_event(Event::LeaseHeld(held_until));
@@ -356,12 +388,15 @@
             req.headers_mut().insert(PEER_TOKEN_HEADER, token);
         }
         let client = RefCell::new(CallClient::new(peer, CALL_LIMITS));
-        let body = match call(&client, req, PULL_TIMEOUT).await {
-            Ok((StatusCode::OK, body)) => body,
-            Ok((StatusCode::NO_CONTENT, _)) => return,
-            Ok((status, _)) => return log_pull_failure(peer, status.as_str()),
+        let res = match call(&client, req, PULL_TIMEOUT).await {
+            Ok(res) => res,
             Err(error) => return log_pull_failure(peer, &error.to_string()),
         };
+        let body = match res.status() {
+            StatusCode::OK => res.into_body(),
+            StatusCode::NO_CONTENT => return,
+            status => return log_pull_failure(peer, status.as_str()),
+        };
         match self.store.dialect().decode_configuration(&body) {
             Ok(document) => {
                 journal::write(
@@ -451,11 +486,7 @@
             }
             Err(StoreError::NotFound) => {
                 let secret: Secret = rand::random::<[u8; SECRET_BYTES]>();
-                let transaction = Transaction {
-                    expected: vec![(SECRET_KEY.into(), 0)],
-                    puts: vec![(SECRET_KEY.into(), Bytes::copy_from_slice(&secret), 0)],
-                };
-                self.store.commit(&transaction).await?;
+                self.write_secret(&secret).await?;
                 Ok(secret)
             }
             Err(error) => Err(error),
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -210,7 +210,7 @@
     client: &std::cell::RefCell<CallClient>,
     call: Request<Bytes>,
     within: Millis,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
+) -> Result<Response<Bytes>, ExchangeError> {
     let (address, limits) = (client.borrow().address(), client.borrow().limits);
     let req = with_host(call, address);
     let idle_connection = client.borrow_mut().take_idle();
@@ -219,14 +219,13 @@
             Some(connection) => connection,
             None => Connection::open(address, within, limits).await?,
         };
-        let res = connection.send(req).await?;
-        let status = res.status();
-        let is_reusable = !has_connection_close(res.headers());
-        let body = read_body(res.into_body(), limits.body_bytes).await?;
+        let (head, body) = connection.send(req).await?.into_parts();
+        let is_reusable = !has_connection_close(&head.headers);
+        let body = read_body(body, limits.body_bytes).await?;
         if is_reusable {
             client.borrow_mut().put_idle(connection);
         }
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     };
     let result = timeout(within.as_duration(), exchange).await;
     let result = result.unwrap_or_else(|_| Err(ExchangeError::Unanswered("timed out".to_owned())));
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -79,6 +79,8 @@
     is_leader_record_known: bool,
     lease_until: Millis,
     is_store_lost: bool,
+    /// When the store came back from a copy, and whether this gateway led until then.
+    restored_at: Option<(Millis, bool)>,
     is_draining: bool,
     generation: u64,
     published_endpoints: Vec<EndpointView>,
@@ -129,6 +131,7 @@
             is_leader_record_known: false,
             lease_until: Millis::ZERO,
             is_store_lost: false,
+            restored_at: None,
             is_draining: false,
             generation: 0,
             published_endpoints: Vec::new(),
@@ -221,6 +224,7 @@
             }
             Event::StoreLost => self.store_lost(),
             Event::StoreAnswered => self.store_answered(now),
+            Event::StoreRestored => self.store_restored(now),
             Event::Members(members) => self.members_read(now, members, &mut out),
             Event::MemberPut(member) => self.member_joined(member, &mut out),
             Event::MemberRemoved(name) => self.member_left(now, &name),
@@ -370,6 +374,14 @@
         }
     }
 
+    /// The store came back from a copy, in which this gateway's lease and leader key may be
+    /// missing, and endpoints that have left may stand.
+    fn store_restored(&mut self, now: Millis) {
+        self.restored_at = Some((now, self.leader.is_some()));
+        self.directory.store_restored(now);
+        self.resign("store restored");
+    }
+
     fn handle_message(&mut self, now: Millis, from: &str, message: Message, out: &mut Vec<Effect>) {
         match message {
             Message::Borrow { workspace, tokens } => {
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -70,6 +70,8 @@
     StoreLost,
     /// A call to the store succeeded.
     StoreAnswered,
+    /// The store came back from an older copy.
+    StoreRestored,
     /// All gateway registrations, from a full list.
     Members(Vec<Member>),
     /// A gateway registration was created or changed.
@@ -177,7 +179,7 @@
             Self::Registered(_) => "registered",
             Self::Deregistered(_) => "deregistered",
             Self::RegistryRead { .. } => "registry_read",
-            Self::StoreLost | Self::StoreAnswered => "store",
+            Self::StoreLost | Self::StoreAnswered | Self::StoreRestored => "store",
             Self::Members(_) | Self::MemberPut(_) | Self::MemberRemoved(_) => "members",
             Self::LeaderKey(_) | Self::LeadershipClaimed { .. } => "leader",
             Self::LeaseHeld(_) | Self::LeaseLost => "lease",
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -72,7 +72,7 @@
         };
         let leader_term = LeaderTerm {
             fence,
-            orders_from: now + pause,
+            orders_from: (now + pause).max(self.orders_from_after_restore()),
         };
         journal::write(
             "leader.elected",
@@ -91,6 +91,15 @@
         ));
     }
 
+    /// A leader of the time before the store came back from a copy may not know of that yet,
+    /// and acts until its lease has run out.
+    fn orders_from_after_restore(&self) -> Millis {
+        match self.restored_at {
+            Some((at, false)) => at + self.settings.bounds.lease,
+            _ => Millis::ZERO,
+        }
+    }
+
     pub(super) fn resign(&mut self, why: &str) {
         if let Some(leader) = self.leader.take() {
             let fence = leader.term().fence;
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Request, StatusCode};
 
 use super::document::Document;
-use super::notices::Notice;
+use super::notices::{Notice, Stated};
 use super::request::{ForwardMetadata, RequestMetadata};
 use crate::clock::Millis;
 
@@ -78,6 +78,9 @@
     /// No response arrived; the call may have taken effect or may still do so.
     #[error("no response: {0}")]
     Unanswered(CompactString),
+    /// The store came back from a copy while the call ran; it may have taken effect.
+    #[error("the store came back from a copy")]
+    Restored,
     /// The response cannot be decoded.
     #[error("cannot decode the response: {0}")]
     Malformed(CompactString),
@@ -227,6 +230,9 @@
     /// Ends a lease and removes its keys.
     fn end_lease(&self, id: u64) -> Call;
 
+    /// Reads the era of the store, in which its revisions count, from the headers of a
+    /// response; `None` if it states none.
+    fn read_era(&self, headers: &HeaderMap) -> Option<Stated<u64>>;
     /// Decodes the response to [`Dialect::read_key`].
     fn decode_item(&self, status: StatusCode, body: &[u8]) -> Result<Item, StoreError>;
     /// Decodes the response to [`Dialect::read_range`].
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -13,6 +13,9 @@
 /// no other endpoint can serve. It goes on serving for the whole drain time.
 const ASSIGNMENT_GRACE_DIVISOR: u64 = 2;
 
+/// How long an endpoint that left is remembered: no copy of the store is older.
+const DEPARTED_LIFETIME: Millis = Millis(60_000);
+
 /// The models that an engine holds, as the leader knows them from orders and reports.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holdings {
@@ -76,6 +79,10 @@
     /// When the store last became reachable again.
     store_regained_at: Option<Millis>,
     is_store_lost: bool,
+    /// When the store came back from a copy.
+    restored_at: Option<Millis>,
+    /// Endpoints that left lately, with their start time and when they were dropped.
+    departed: Vec<(CompactString, u64, Millis)>,
 }
 
 impl Directory {
@@ -86,6 +93,8 @@
             grace,
             store_regained_at: None,
             is_store_lost: false,
+            restored_at: None,
+            departed: Vec::new(),
         }
     }
 
@@ -112,9 +121,32 @@
         }
     }
 
+    /// Records that the store came back from a copy. It may list endpoints that have left;
+    /// those that live write their registrations again. Others may be missing until then.
+    pub fn store_restored(&mut self, now: Millis) {
+        self.restored_at = Some(now);
+        self.store_regained_at = Some(now);
+    }
+
+    /// Whether a list from the store may show an endpoint as it was before it left.
+    fn is_outdated(&self, now: Millis, listed: &Registration) -> bool {
+        let is_recent = |at: Millis| now.since(at) <= self.grace.relist;
+        if !self.restored_at.is_some_and(is_recent) || listed.state == EndpointState::Draining {
+            return false;
+        }
+        let is_same = |id: &str, started_at| id == listed.id && started_at == listed.started_at;
+        let entry = self.find(&listed.id).ok().map(|at| &self.entries[at]);
+        let is_leaving = entry.is_some_and(|e| {
+            e.leaving_since.is_some() && is_same(&e.registration.id, e.registration.started_at)
+        });
+        let mut departed = self.departed.iter();
+        is_leaving || departed.any(|(id, started_at, _)| is_same(id, *started_at))
+    }
+
     /// Applies a full list of registrations; those that are missing count as removed.
-    pub fn replace(&mut self, now: Millis, all: Vec<Registration>) -> Vec<Change> {
+    pub fn replace(&mut self, now: Millis, mut all: Vec<Registration>) -> Vec<Change> {
         let mut changes = Vec::new();
+        all.retain(|listed| !self.is_outdated(now, listed));
         let ids: Vec<CompactString> = all.iter().map(|r| r.id.clone()).collect();
         for registration in all {
             changes.extend(self.put(now, registration));
@@ -224,10 +256,15 @@
             // Otherwise the next full list would add it as a new one.
             let is_kept = is_kept || !entry.is_lapsed;
             if !is_kept {
-                gone.push(Change::Gone(entry.registration.id.clone()));
+                let registration = &entry.registration;
+                gone.push(Change::Gone(registration.id.clone()));
+                let departed = (registration.id.clone(), registration.started_at, now);
+                self.departed.push(departed);
             }
             is_kept
         });
+        self.departed
+            .retain(|(_, _, at)| now.since(*at) < DEPARTED_LIFETIME);
         gone
     }
 
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -51,7 +51,12 @@
         .build()
         .map_err(|e| Error::io("starting the control runtime", e))?;
     let (dialect, metrics) = (shared.dialect.clone(), shared.metrics.clone());
-    let store = Rc::new(Store::new(shared.settings.store, dialect, metrics));
+    let store = Rc::new(Store::new(
+        shared.settings.store,
+        dialect,
+        metrics,
+        events.clone(),
+    ));
     let driver = Driver { shared, events };
     LocalSet::new().block_on(&runtime, driver.drive(store, queue, supervisor));
     Ok(())
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -57,6 +57,7 @@
         | Event::RegistryRead { .. }
         | Event::StoreLost
         | Event::StoreAnswered
+        | Event::StoreRestored
         | Event::EndpointSaidLeaving(_)
         | Event::LimitChanged(_)
         | Event::GrantsWanted { .. }
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -6,11 +6,15 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use http::StatusCode;
+use http::Response;
 use tokio::sync::Notify;
 
 use super::connection::{CALL_LIMITS, CallClient, ExchangeError, call};
+use super::control::Event;
 use super::dialect::{Call, Dialect, Item, Lease, Page, StoreError, Transaction};
+use super::era::{era_of, position, revision_of};
+use super::notices::Stated;
+use super::queue::EventSender;
 use crate::clock::Millis;
 use crate::journal;
 use crate::metrics::Metrics;
@@ -65,11 +69,22 @@
     watches: RefCell<CallClient>,
     counts: Cell<CallCounts>,
     answered: Notify,
+    events: EventSender,
+    /// The era that the store stated last; 0 before that.
+    era: Cell<u64>,
+    was_restored: Cell<bool>,
+    has_logged_invalid: Cell<bool>,
+    restored: Notify,
 }
 
 impl Store {
     /// Creates a client for the store at an address.
-    pub fn new(address: SocketAddr, dialect: Arc<dyn Dialect>, metrics: Arc<Metrics>) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        dialect: Arc<dyn Dialect>,
+        metrics: Arc<Metrics>,
+        events: EventSender,
+    ) -> Self {
         Self {
             dialect,
             metrics,
@@ -77,9 +92,29 @@
             watches: RefCell::new(CallClient::new(address, CALL_LIMITS)),
             counts: Cell::default(),
             answered: Notify::new(),
+            events,
+            era: Cell::new(0),
+            was_restored: Cell::new(false),
+            has_logged_invalid: Cell::new(false),
+            restored: Notify::new(),
         }
     }
 
+    /// The era of the store; 0 if it states none.
+    pub fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    /// Whether the store has come back from a copy since the start.
+    pub fn was_restored(&self) -> bool {
+        self.was_restored.get()
+    }
+
+    /// Waits until the store comes back from a copy.
+    pub async fn new_era(&self) {
+        self.restored.notified().await;
+    }
+
     /// Waits until the store answers a call, of whatever kind, with success.
     pub async fn answered(&self) {
         self.answered.notified().await;
@@ -116,10 +151,12 @@
 
     /// Reads one key.
     pub async fn read_key(&self, key: &str) -> Result<Item, StoreError> {
-        let (status, body) = self
+        let res = self
             .call(CallKind::Read, self.dialect.read_key(key))
             .await?;
-        self.dialect.decode_item(status, &body)
+        let mut item = self.dialect.decode_item(res.status(), res.body())?;
+        self.place(&mut item);
+        Ok(item)
     }
 
     /// Reads all keys under a prefix. The pages are not a consistent snapshot; the
@@ -128,10 +165,15 @@
     pub async fn read_range(&self, prefix: &str) -> Result<Page, StoreError> {
         let mut all = Page::default();
         let mut after: Option<CompactString> = None;
+        let mut first_era = None;
         for index in 0..MAX_PAGES {
             let req = self.dialect.read_range(prefix, after.as_deref());
-            let (status, body) = self.call(CallKind::Read, req).await?;
-            let page = self.dialect.decode_page(status, &body)?;
+            let res = self.call(CallKind::Read, req).await?;
+            let mut page = self.dialect.decode_page(res.status(), res.body())?;
+            if *first_era.get_or_insert(self.era()) != self.era() {
+                return Err(StoreError::Restored);
+            }
+            self.place_all(&mut page);
             if index == 0 {
                 all.revision = page.revision;
             }
@@ -144,70 +186,124 @@
         Err(StoreError::Malformed("the range has too many pages".into()))
     }
 
-    /// Waits for changes under a prefix.
+    /// Waits for changes under a prefix. The store has none after a revision of another era.
     pub async fn watch(&self, prefix: &str, after: u64, wait: Millis) -> Result<Page, StoreError> {
-        let req = self.dialect.watch(prefix, after, wait);
+        if era_of(after) != self.era() {
+            return Err(StoreError::Compacted);
+        }
+        let req = self.dialect.watch(prefix, revision_of(after), wait);
         let result = call(&self.watches, req, wait + WATCH_MARGIN).await;
-        let (status, body) = self.count(CallKind::Watch, result)?;
-        self.dialect.decode_events(status, &body)
+        let res = self.receive(CallKind::Watch, result)?;
+        let mut page = self.dialect.decode_events(res.status(), res.body())?;
+        if era_of(after) != self.era() {
+            return Err(StoreError::Compacted);
+        }
+        self.place_all(&mut page);
+        Ok(page)
     }
 
-    /// Commits a transaction and returns the revision of the change.
+    /// Commits a transaction and returns the revision of the change. A condition on a
+    /// revision of another era does not hold.
     pub async fn commit(&self, transaction: &Transaction) -> Result<u64, StoreError> {
-        let (status, body) = self
-            .call(CallKind::Write, self.dialect.commit(transaction))
-            .await?;
-        self.dialect.decode_commit(status, &body)
+        let era = self.era();
+        let mut in_era = transaction.clone();
+        for (_, revision) in &mut in_era.expected {
+            if *revision != 0 && era_of(*revision) != era {
+                return Err(StoreError::Conflict);
+            }
+            *revision = revision_of(*revision);
+        }
+        let req = self.dialect.commit(&in_era);
+        let res = self.call(CallKind::Write, req).await?;
+        let revision = self.dialect.decode_commit(res.status(), res.body())?;
+        if self.era() != era && !in_era.expected.is_empty() {
+            return Err(StoreError::Restored);
+        }
+        Ok(position(self.era(), revision))
     }
 
     /// Opens a lease.
     pub async fn open_lease(&self, ttl: Millis) -> Result<Lease, StoreError> {
-        let (status, body) = self
-            .call(CallKind::Write, self.dialect.open_lease(ttl))
-            .await?;
-        self.dialect.decode_lease(status, &body)
+        let req = self.dialect.open_lease(ttl);
+        let res = self.call(CallKind::Write, req).await?;
+        self.dialect.decode_lease(res.status(), res.body())
     }
 
     /// Renews a lease.
     pub async fn renew_lease(&self, id: u64) -> Result<(), StoreError> {
-        let (status, _) = self
-            .call(CallKind::Lease, self.dialect.renew_lease(id))
-            .await?;
-        self.dialect.decode_renewal(status)
+        let req = self.dialect.renew_lease(id);
+        let res = self.call(CallKind::Lease, req).await?;
+        self.dialect.decode_renewal(res.status())
     }
 
     /// Ends a lease and removes its keys.
     pub async fn end_lease(&self, id: u64) -> Result<(), StoreError> {
-        let (status, _) = self
-            .call(CallKind::Write, self.dialect.end_lease(id))
-            .await?;
-        self.dialect.decode_renewal(status)
+        let req = self.dialect.end_lease(id);
+        let res = self.call(CallKind::Write, req).await?;
+        self.dialect.decode_renewal(res.status())
     }
 
-    async fn call(&self, kind: CallKind, req: Call) -> Result<(StatusCode, Bytes), StoreError> {
+    async fn call(&self, kind: CallKind, req: Call) -> Result<Response<Bytes>, StoreError> {
         let result = call(&self.calls, req, CALL_TIMEOUT).await;
-        self.count(kind, result)
+        self.receive(kind, result)
     }
 
-    /// Counts a call, and wakes those that wait for the store if it succeeded.
-    fn count(
+    /// Counts a call, wakes those that wait for the store if it succeeded, and notes the
+    /// era of the response. One of an earlier era changes nothing.
+    fn receive(
         &self,
         kind: CallKind,
-        result: Result<(StatusCode, Bytes), ExchangeError>,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
-        let is_answered = result.as_ref().is_ok_and(|(status, _)| status.is_success());
+        result: Result<Response<Bytes>, ExchangeError>,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let is_answered = result.as_ref().is_ok_and(|res| res.status().is_success());
         let mut counts = self.counts.get();
         counts.calls[kind as usize] += 1;
         counts.unanswered += u32::from(result.is_err());
         self.counts.set(counts);
         self.metrics.count_store_call(kind.name(), is_answered);
+        let res = result.map_err(|error| StoreError::Unanswered(format_compact!("{error}")))?;
+        self.note_era(&res)?;
         if is_answered {
             self.answered.notify_waiters();
         }
-        result.map_err(unanswered)
+        Ok(res)
+    }
+
+    fn note_era(&self, res: &Response<Bytes>) -> Result<(), StoreError> {
+        let era = match self.dialect.read_era(res.headers()) {
+            None => return Ok(()),
+            Some(Stated::Invalid) => {
+                if !self.has_logged_invalid.replace(true) {
+                    journal::write("store.era_invalid", &[("known", self.era().into())]);
+                }
+                return Ok(());
+            }
+            Some(Stated::Value(era)) => era,
+        };
+        let known = self.era.replace(era);
+        if era < known {
+            self.era.set(known);
+            return Err(StoreError::Unanswered("of an earlier era".into()));
+        }
+        // The first response states the era in which this process started.
+        if era > known && known != 0 {
+            self.was_restored.set(true);
+            journal::write(
+                "store.restored",
+                &[("era", era.into()), ("before", known.into())],
+            );
+            self.events.send(Event::StoreRestored);
+            self.restored.notify_waiters();
+        }
+        Ok(())
     }
-}
 
-fn unanswered(error: ExchangeError) -> StoreError {
-    StoreError::Unanswered(format_compact!("{error}"))
+    fn place(&self, item: &mut Item) {
+        item.revision = position(self.era(), item.revision);
+    }
+
+    fn place_all(&self, page: &mut Page) {
+        page.revision = position(self.era(), page.revision);
+        page.items.iter_mut().for_each(|item| self.place(item));
+    }
 }
