The late answer to an earlier claim begins no term

The store was losing and delaying answers.

Cause: a gateway may have two claims under way, the second one since it read its own name in the key. If the first is answered last, its lower fence replaced the term.

Change: a claim below the highest fence that was claimed or read begins no term. Tests, red before: tests/direct_leadership.rs.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -75,6 +75,8 @@
     own_loads: LoadTable,
     leader: Option<Leader>,
     leader_record: Option<LeaderRecord>,
+    /// The highest fencing number of any leader so far.
+    highest_fence: u64,
     /// Whether the leader key has been read.
     is_leader_record_known: bool,
     lease_until: Millis,
@@ -128,6 +130,7 @@
             own_loads: LoadTable::new(),
             leader: None,
             leader_record: None,
+            highest_fence: 0,
             is_leader_record_known: false,
             lease_until: Millis::ZERO,
             is_store_lost: false,
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -31,6 +31,8 @@
                 .as_ref()
                 .is_some_and(|l| l.term().fence < r.revision)
         });
+        let fence = record.as_ref().map_or(0, |r| r.revision);
+        self.highest_fence = self.highest_fence.max(fence);
         self.leader_record = record;
         if is_superseded && !is_mine {
             self.resign("superseded");
@@ -63,9 +65,11 @@
     }
 
     pub(super) fn leadership_claimed(&mut self, now: Millis, fence: u64, is_succession: bool) {
-        if self.is_draining {
+        // An earlier claim may be answered after a later one, or after another gateway's.
+        if self.is_draining || fence < self.highest_fence {
             return;
         }
+        self.highest_fence = fence;
         let pause = match is_succession {
             true => self.settings.bounds.succession,
             false => Millis::ZERO,
