Where all models fit, placement is as before; a cleared place is cleared once

Causes: (1) where all models fit, idle models lost last copies, and were loaded late; (2) a place whose unload had ended, but was still listed by the registration, was cleared a second time.

Change: last copies yield, and models in demand come before idle ones, only where there are fewer places than models; a place isn't cleared while something that leaves is listed there.

Tests: `a_place_that_is_being_cleared_is_not_cleared_again`, red before; `scarce_places_go_to_ those_that_are_asked_for`; `a_model_without_a_copy_is_placed_before_one_that_needs_another` is as it was before the milestone again.

--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -158,12 +158,12 @@
         planner.add_required(required);
     }
     while let Some(model_idx) = planner.neediest() {
-        let is_served = match planner.is_missing(model_idx) {
+        let is_served = match planner.is_scarce && planner.is_missing(model_idx) {
             true => planner.add_copy(model_idx, None, Victims::Idle),
             false => {
                 planner.add_copy(model_idx, None, Victims::Spare)
                     || planner.relocate_for(model_idx)
-                    || planner.add_copy(model_idx, None, Victims::Idle)
+                    || (planner.is_scarce && planner.add_copy(model_idx, None, Victims::Idle))
             }
         };
         if !is_served {
@@ -185,7 +185,7 @@
     copies: Vec<usize>,
     /// Number of copies by model that requests can use now.
     serving: Vec<usize>,
-    /// Whether the engines have less memory than all models need.
+    /// Whether the engines have fewer places than there are models.
     is_scarce: bool,
     /// The number of requests that an engine runs concurrently.
     slots: f64,
@@ -203,7 +203,8 @@
             let serving = copies.filter(|c| c.model == model.name && c.is_serving());
             serving.count()
         });
-        let needed_mb: f64 = models.iter().map(|m| m.weight_mb).sum();
+        let largest_mb = models.iter().map(|m| m.weight_mb).fold(0.0, f64::max);
+        let places = (usable_mb(input.spec) / largest_mb.max(1.0)) as usize * input.engines.len();
         let copies = models.iter().map(|model| {
             let open = input.engines.iter().filter(|e| e.is_open);
             let copies = open.flat_map(|e| &e.copies);
@@ -225,7 +226,7 @@
             copies: copies.collect(),
             serving: serving.collect(),
             slots: f64::from(input.engines.iter().map(|e| e.slots).max().unwrap_or(1)),
-            is_scarce: needed_mb > input.spec.weight_mb * input.engines.len() as f64,
+            is_scarce: places < models.len(),
             skipped: vec![false; models.len()],
             moves: Vec::new(),
         }
@@ -246,6 +247,10 @@
             let model = &self.spec.models[model_idx];
             let is_from_store = !engine.local_models.contains(&model.name);
             if self.free_mb[engine_idx] < model.weight_mb {
+                // What was unloaded may be listed for some time.
+                if engine.copies.iter().any(|c| c.is_leaving) {
+                    continue;
+                }
                 let room = self.room_for(model_idx, engine_idx, true, Victims::Idle);
                 if let Some(Room::After { victim, .. }) = room {
                     self.copies[model_idx] -= 1;
@@ -272,8 +277,9 @@
         }
     }
 
-    /// The model that needs a copy most: first those with the most open requests beyond
-    /// what their copies bear, then by pressure. Those that nobody asks for come last.
+    /// The model that needs a copy most. Where all models fit into the engines, those without
+    /// a copy come first. Otherwise those with the most open requests beyond what their copies
+    /// bear do, then those under the most pressure, and those that nobody asks for last.
     fn neediest(&self) -> Option<usize> {
         let candidates = (0..self.copies.len()).filter(|model_idx| {
             let copies = self.copies[*model_idx];
@@ -289,11 +295,17 @@
 
     /// The open requests of a model that its copies can't bear, and its pressure.
     fn need(&self, model_idx: usize) -> (f64, f64) {
+        let copies = self.copies[model_idx];
+        let open = self.mean_open_requests(model_idx);
+        if copies == 0 && !self.is_scarce {
+            return (f64::INFINITY, open);
+        }
         if !self.is_asked_for(model_idx) {
             return (0.0, 0.0);
         }
-        let copies = self.copies[model_idx];
-        let open = self.mean_open_requests(model_idx);
+        if !self.is_scarce {
+            return (0.0, self.pressure(model_idx, copies));
+        }
         let unborne = open - copies as f64 * self.slots * STRAINED_SHARE;
         (unborne.max(0.0), self.pressure(model_idx, copies))
     }
@@ -340,7 +352,9 @@
         let places = self.engines.iter().enumerate();
         let places = places.filter(|(_, e)| e.can_take(&model.name));
         let places = places.filter(|(_, e)| required.is_none_or(|r| r.engines.contains(&e.id)));
-        let is_urgent = required.is_some() || self.is_missing(model_idx);
+        let is_missing = self.copies[model_idx] == 0;
+        let is_urgent =
+            required.is_some() || (is_missing && (self.is_asked_for(model_idx) || !self.is_scarce));
         let places = places.filter_map(|(engine_idx, engine)| {
             let is_from_store = !engine.local_models.contains(&model.name);
             if is_from_store && self.store_loads == 0 {
@@ -436,9 +450,13 @@
 /// Free memory of an engine, in MB, with all adapter slots taken. Every model that
 /// may be there counts, including those being unloaded.
 pub fn free_mb(spec: &EngineSpec, engine: &Engine) -> f64 {
-    let largest = spec.models.iter().map(|m| m.adapter_mb);
-    let adapters = largest.fold(0.0, f64::max) * spec.adapter_slots as f64;
     let held = engine.copies.iter().filter_map(|c| spec.model(&c.model));
     let held: f64 = held.map(|m| m.weight_mb).sum();
-    spec.weight_mb - adapters - held
+    usable_mb(spec) - held
+}
+
+/// Memory of an engine for models, in MB, with all adapter slots taken.
+fn usable_mb(spec: &EngineSpec) -> f64 {
+    let largest = spec.models.iter().map(|m| m.adapter_mb);
+    spec.weight_mb - largest.fold(0.0, f64::max) * spec.adapter_slots as f64
 }
--- a/src/direct/placement/victims.rs
+++ b/src/direct/placement/victims.rs
@@ -1,6 +1,6 @@
 //! Chooses the copy that makes room for that of another model.
 
-use super::{MIN_PRESSURE_RATIO, ModelCopy, Planner, SCALE_UP_ABOVE};
+use super::{MIN_PRESSURE_RATIO, ModelCopy, Planner};
 use crate::clock::Millis;
 
 /// Share of an engine's slots that the open requests of each copy take up where a model
@@ -14,11 +14,7 @@
 const LAST_COPY_COST: f64 = 1.0;
 /// Cost of an unload that has to be followed by another one, in open requests.
 const SECOND_UNLOAD_COST: f64 = 1.0;
-/// Open requests per copy that a model may have without the copy that it gives up to a
-/// model without any: with fewer, its other copies take over what that one did.
-const SPARE_BELOW: f64 = SCALE_UP_ABOVE / MIN_PRESSURE_RATIO;
-/// Minimum time that a copy stays, several times its load time, unless a model
-/// without any copy needs the room.
+/// Minimum time that a copy stays, unless a model without any copy needs the room.
 const MIN_RESIDENCY: Millis = Millis(4_000);
 
 /// The room for a model at an engine.
@@ -78,14 +74,12 @@
             };
             let strain = f64::from(engine.slots) * STRAINED_SHARE;
             let is_worth_it = match is_last {
-                true if is_urgent => true,
+                true if is_urgent => self.is_asked_for(model_idx),
                 false if is_urgent => {
-                    victim_pressure <= strain.max(self.mean_open_requests(model_idx))
+                    !self.is_scarce
+                        || victim_pressure <= strain.max(self.mean_open_requests(model_idx))
                 }
                 true => new_pressure > strain,
-                false if self.copies[model_idx] == 0 => {
-                    !self.is_scarce && victim_pressure <= SPARE_BELOW
-                }
                 false => victim_pressure * MIN_PRESSURE_RATIO < new_pressure,
             };
             let fits = free + self.spec.models[victim].weight_mb >= model.weight_mb;
