--- a/tests/direct_notices.rs
+++ b/tests/direct_notices.rs
@@ -301,3 +301,18 @@
         Permit::At(Millis(4_750))
     );
 }
+
+// Guards against an endpoint that is kept away from since another one wants a pause.
+#[test]
+fn runs_of_different_endpoints_have_different_identifiers() {
+    for started_at in 1_700_000_000_000..1_700_000_002_000 {
+        for (one, other) in [("i-0", "i-1"), ("i-0bedf29005", "i-1bedf29005")] {
+            let run = RunId::new(one, started_at);
+            assert_ne!(
+                run,
+                RunId::new(other, started_at + 1),
+                "{one}, {started_at}"
+            );
+        }
+    }
+}
