Runs of endpoints with short identifiers have different hashes

Cause: xxh3 takes inputs of up to eight bytes into the same word as its seed, so that i-0 started at t and i-1 started at t + 1 ms had one RunId (and one CrashId) for half of all t; a pause of one endpoint kept requests from the other.

Change: one function for both kinds of identifier; up to eight bytes the start time is hashed behind the identifier. Longer ones are hashed as before, so that gateways of both builds name them alike.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -48,6 +48,7 @@
 pub mod request;
 pub mod resume;
 pub mod retry_budget;
+mod run_hash;
 pub mod settings;
 pub mod shared;
 pub mod shares;
--- a/src/direct/notices.rs
+++ b/src/direct/notices.rs
@@ -11,6 +11,7 @@
 
 use super::dialect::Registration;
 use super::rate_owner::{Grant, NamedRate, RequestRate};
+use super::run_hash::run_hash;
 use crate::clock::Millis;
 
 use limit::Limit;
@@ -40,10 +41,7 @@
 impl RunId {
     /// The run of an endpoint that began at `started_at`.
     pub fn new(endpoint: &str, started_at: u64) -> Self {
-        Self(xxhash_rust::xxh3::xxh3_64_with_seed(
-            endpoint.as_bytes(),
-            started_at,
-        ))
+        Self(run_hash(endpoint, started_at))
     }
 
     /// The run of a registered endpoint.
--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -22,6 +22,7 @@
 
 pub use block::{Block, BlockCause, BlockState};
 
+use super::run_hash::run_hash;
 use crate::clock::Millis;
 use block::BlockTable;
 
@@ -77,10 +78,7 @@
 impl CrashId {
     /// The end of the run of an endpoint that began at `started_at`.
     pub fn of_run(endpoint: &str, started_at: u64) -> Self {
-        Self(xxhash_rust::xxh3::xxh3_64_with_seed(
-            endpoint.as_bytes(),
-            started_at,
-        ))
+        Self(run_hash(endpoint, started_at))
     }
 }
 
--- a/tests/direct_notices.rs
+++ b/tests/direct_notices.rs
@@ -14,6 +14,7 @@
 use rattanstall::direct::gossip::Message;
 use rattanstall::direct::ledger::EngineCall;
 use rattanstall::direct::notices::{Notice, NoticeBoard, Notices, Permit, RunId, Stated};
+use rattanstall::direct::suspects::CrashId;
 use rattanstall::direct::view::Usability;
 
 use fleet::{ENGINES, elected_leader, from_peer, model, registered_gateway};
@@ -313,6 +314,8 @@
                 RunId::new(other, started_at + 1),
                 "{one}, {started_at}"
             );
+            let end = CrashId::of_run(one, started_at);
+            assert_ne!(end, CrashId::of_run(other, started_at + 1), "{one}");
         }
     }
 }
