Requests in flight are told through collectors above eight gateways

Cause: loads were reported to all, each 100 ms for each eight gateways, and reached the traffic threads only at the gateway's own report: 900 ms old on average at 68 gateways, 1.8 s at most. From 80 gateways on a report was older than the age up to which it counted, so that gateways knew nothing of each other's requests.

Change: above eight gateways each reports to a collector of its group, collectors tell each other sums, and each reporter the total of all others (direct/load_exchange, control/loads). Whoever is reported to collects; a collector that is silent is avoided. The status goes on to all, with loads to the leader only, which needs them by model. Loads that peers report take effect at the next tick.

A collector sends more than the mean.

During a roll from an older build its gateways count no requests of those of this build that have a collector.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -30,6 +30,7 @@
 mod job;
 pub mod leader;
 pub mod ledger;
+pub mod load_exchange;
 pub mod loans;
 pub mod members;
 pub mod notices;
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -7,6 +7,7 @@
 mod grants;
 mod leadership;
 mod limits;
+mod loads;
 mod needs;
 mod notices;
 mod parts;
@@ -20,8 +21,9 @@
 use super::balance::FULL_COMPARISON_GATEWAYS;
 use super::directory::{Change, Directory, GracePeriods};
 use super::document::Document;
-use super::gossip::{Message, split_rows};
+use super::gossip::Message;
 use super::leader::{Leader, LeaderTerm};
+use super::load_exchange::LoadExchange;
 use super::members::Members;
 use super::notices::NoticeBoard;
 use super::rate_owner::{Grant, NamedRate, RateOwner};
@@ -73,6 +75,8 @@
     rates: Rates,
     usage_read_at: Millis,
     own_loads: LoadTable,
+    /// Requests in flight of the other gateways.
+    loads: LoadExchange,
     leader: Option<Leader>,
     leader_record: Option<LeaderRecord>,
     /// The highest fencing number of any leader so far.
@@ -106,6 +110,10 @@
 #[derive(Debug, Default)]
 struct Due {
     status: Millis,
+    load_report: Millis,
+    collection: Millis,
+    totals: Millis,
+    loads_published: Millis,
     pull: Millis,
     claim: Millis,
     shares_log: Millis,
@@ -128,6 +136,7 @@
             rates: Rates::default(),
             usage_read_at: Millis::ZERO,
             own_loads: LoadTable::new(),
+            loads: LoadExchange::default(),
             leader: None,
             leader_record: None,
             highest_fence: 0,
@@ -303,10 +312,12 @@
         }
         if now >= self.due.status {
             let fleet = self.members.count() as u64;
-            self.due.status =
-                now + Millis(STATUS_INTERVAL.0 * fleet.div_ceil(STATUS_BASE_GATEWAYS));
+            let interval = Millis(STATUS_INTERVAL.0 * fleet.div_ceil(STATUS_BASE_GATEWAYS));
+            self.due.status = now + interval;
+            self.members.set_status_interval(interval);
             self.report_status(now, out);
         }
+        self.exchange_loads(now, out);
         for (peer, is_reachable) in self.members.take_reachability_changes(now) {
             let event = if is_reachable {
                 "peer.heard"
@@ -333,19 +344,6 @@
         self.schedule_due_decision(now, out);
     }
 
-    fn report_status(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        out.push(Effect::SetPeerLoads(self.members.loads(now)));
-        for (at, loads) in split_rows(&self.own_loads).into_iter().enumerate() {
-            let message = Message::Status {
-                version: self.version(),
-                is_draining: self.is_draining,
-                is_first: at == 0,
-                loads,
-            };
-            out.push(Effect::Broadcast(message));
-        }
-    }
-
     fn directory_changed(&mut self, changes: &[Change], out: &mut Vec<Effect>) {
         for change in changes {
             let (event, id) = match change {
@@ -459,6 +457,7 @@
                     leader.note_adapters_used(now, &used);
                 }
             }
+            Message::Loads(kind, part) => self.loads.receive(now, from, kind, part),
             // Handled by `Members::receive`.
             Message::Status { .. } | Message::Limits(_) | Message::Demand { .. } => {}
             // The sender is of an older build; this gateway asks others or watches the store.
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -12,6 +12,7 @@
 
 use super::control::Need;
 use super::directory::Holdings;
+use super::load_exchange::{LoadKind, LoadPart};
 use super::members::Member;
 use super::notices::{LimitNews, RunId};
 use super::rate_owner::RequestRate;
@@ -174,6 +175,8 @@
     Registrations(RegistryUpdate),
     /// Asks for the changes of endpoint registrations after a revision.
     RegistrationsSought(u64),
+    /// Requests in flight by endpoint.
+    Loads(LoadKind, LoadPart),
 }
 
 impl Message {
@@ -202,6 +205,7 @@
             Self::GrantsWanted { .. } => "peer_grants_wanted",
             Self::Grants { .. } => "peer_grants",
             Self::Members(_) => "peer_members",
+            Self::Loads(..) => "peer_loads",
         }
     }
 
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -102,6 +102,7 @@
             unread_tokens: prompt,
             tokens: prompt.saturating_add(output),
             models: model.map(|m| (model_hash(&m.model), 1)).collect(),
+            wait: Millis::ZERO,
         }
     }
 
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -14,9 +14,9 @@
 use super::view::LoadTable;
 use crate::clock::Millis;
 
-/// Age at which a load report is no longer used. A gateway sends several reports
-/// in this time.
+/// Age at which a load report is no longer used, in a small fleet and in report intervals.
 const MAX_LOAD_AGE: Millis = Millis(1_000);
+const MAX_LOAD_INTERVALS: u64 = 3;
 /// How long a gateway counts as reachable after its last datagram.
 const PEER_TIMEOUT: Millis = Millis(1_500);
 /// Number of gateways of a group that pass messages on, in turn. Updates overlap, so that
@@ -73,6 +73,9 @@
 pub struct Members {
     own_name: CompactString,
     peers: Vec<Peer>,
+    /// Interval at which the gateways report their status.
+    status_interval: Millis,
+    has_load_news: bool,
 }
 
 impl Members {
@@ -81,9 +84,16 @@
         Self {
             own_name,
             peers: Vec::new(),
+            status_interval: Millis::ZERO,
+            has_load_news: false,
         }
     }
 
+    /// Sets the interval at which the gateways report their status.
+    pub fn set_status_interval(&mut self, interval: Millis) {
+        self.status_interval = interval;
+    }
+
     /// Names of the known gateways that are missing from a full list.
     pub fn missing(&self, all: &[Member]) -> Vec<CompactString> {
         let names = self.peers.iter().map(|p| &p.member.name);
@@ -224,6 +234,7 @@
                 }
                 report.loads.extend(loads);
                 report.loads_at = now;
+                self.has_load_news = true;
                 None
             }
             Message::Limits(mut uses) => {
@@ -277,10 +288,11 @@
     /// The sum of the loads that the other gateways have in flight, sorted by endpoint.
     pub fn loads(&self, now: Millis) -> LoadTable {
         let mut all: LoadTable = Vec::new();
+        let max_age = MAX_LOAD_AGE.max(Millis(self.status_interval.0 * MAX_LOAD_INTERVALS));
         let fresh = self
             .peers
             .iter()
-            .filter(|p| now.since(p.report.loads_at) < MAX_LOAD_AGE);
+            .filter(|p| now.since(p.report.loads_at) < max_age);
         for (endpoint, load) in fresh.flat_map(|p| &p.report.loads) {
             match all.binary_search_by(|(id, _)| id.cmp(endpoint)) {
                 Ok(at) => all[at].1.add(load),
@@ -290,6 +302,45 @@
         all
     }
 
+    /// Whether loads were reported since the last call.
+    pub fn take_load_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_load_news)
+    }
+
+    /// The gateway of this one's group to which it reports its loads; `None` if that is this
+    /// one.
+    pub fn collector(
+        &self,
+        now: Millis,
+        groups: u16,
+        is_draining: bool,
+        is_avoided: impl Fn(&str) -> bool,
+    ) -> Option<&Member> {
+        let group = group_of(&self.own_name, groups);
+        let weight = |name: &str| rendezvous_weight(u64::from(group), name);
+        let peers = self.staying(now);
+        let peers = peers.filter(|p| group_of(&p.member.name, groups) == group);
+        let peers = peers.filter(|p| !is_avoided(&p.member.name));
+        let best = peers.max_by_key(|p| weight(&p.member.name))?;
+        let is_ahead = weight(&best.member.name) > weight(&self.own_name);
+        (is_ahead || is_draining).then_some(&best.member)
+    }
+
+    /// The gateways of the other groups to which those of each group report their loads.
+    pub fn collectors(&self, now: Millis, groups: u16) -> Vec<SocketAddr> {
+        let own = group_of(&self.own_name, groups);
+        let mut best: Vec<Option<(u64, SocketAddr)>> = vec![None; usize::from(groups)];
+        for peer in self.staying(now) {
+            let group = group_of(&peer.member.name, groups);
+            let weight = rendezvous_weight(u64::from(group), &peer.member.name);
+            let known = &mut best[usize::from(group)];
+            if group != own && known.is_none_or(|(most, _)| weight > most) {
+                *known = Some((weight, peer.member.address));
+            }
+        }
+        best.into_iter().flatten().map(|(_, to)| to).collect()
+    }
+
     /// Usage of the limits at each of the other gateways.
     pub fn limit_usage(&self, now: Millis) -> Vec<MemberUsage> {
         let usage = self.peers.iter().map(|p| MemberUsage {
