--- a/src/direct.rs
+++ b/src/direct.rs
@@ -35,6 +35,7 @@
 pub mod members;
 pub mod notices;
 mod origin;
+pub mod pace;
 pub mod part_table;
 pub mod placement;
 pub mod queue;
