--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -89,6 +89,14 @@
     }
 }
 
+/// The engines at which each copy is the only one of its model.
+fn without_spare_copy(engines: &[Engine]) -> Vec<CompactString> {
+    let number = |name: &CompactString| name[1..].parse().expect("a model's number");
+    let is_last = |c: &ModelCopy| copies_of(engines, number(&c.model)) == 1;
+    let without = engines.iter().filter(|e| e.copies.iter().all(is_last));
+    without.map(|e| e.id.clone()).collect()
+}
+
 fn copies_of(engines: &[Engine], model: usize) -> usize {
     let name: CompactString = format_compact!("m{model:02}");
     let copies = engines.iter().flat_map(|e| &e.copies);
@@ -300,3 +308,24 @@
         }
     }
 }
+
+// Guards against engines that are idle all day while others are full, since they hold nothing
+// but the only copies of models that nobody asks for.
+#[test]
+fn each_engine_has_a_place_for_models_in_demand() {
+    let spec = spec(10);
+    let held = [[2, 3], [4, 5], [6, 7], [8, 0], [9, 1]];
+    let held = held.into_iter().chain([[0, 1]; 5]).enumerate();
+    let mut engines: Vec<Engine> = held.map(|(at, models)| engine(at, &models)).collect();
+    settle(&spec, &mut engines, &demand(10, &[]), 30);
+    assert_eq!(without_spare_copy(&engines), [] as [CompactString; 0]);
+    let idle = demand(10, &[]);
+    let settled = moves(&spec, &engines, &idle, 3);
+    assert_eq!(settled, [], "nothing is left to do");
+    settle(&spec, &mut engines, &demand(10, &[(0, 200.0)]), 60);
+    assert!(
+        (0..10).all(|m| copies_of(&engines, m) > 0),
+        "a last copy is gone"
+    );
+    assert!(copies_of(&engines, 0) >= 9, "{}", copies_of(&engines, 0));
+}
