Engines get the requests that they can begin in time; the rest is refused at once

Cause: an engine counted as full from its slots and a queue on, the queue as long as callers wait (60 % of the time to the first event) by a duration of 2.5 s that was fitted to the first deployment. With 12 slots that was 46 requests, so that under load all that engines served was late.

Change: an engine has room for what would begin within a quarter of the shortest target of its service's streams, by slots and by unread prompts, with durations and reading times that the gateway learns (direct/pace). Where more requests for a model arrive than there is room for while news of loads is on its way, a gateway admits a random share of its own, so that all gateways together send what fits, and draws the engine by its room. Bonuses for zone and session are shares of the slots. The choice of an endpoint moves to forward/choice.rs; Criteria has the target instead of the time that callers wait.

The criteria of direct_balance and direct_parts name the target where they named the time that callers wait; their checks are as they were.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -192,12 +192,13 @@
         self.record_end();
         let Self {
             connection,
-            in_flight,
+            mut in_flight,
             is_reusable,
             body,
             ..
         } = self;
         drop(body);
+        in_flight.completed(now);
         in_flight.update_endpoint(|endpoint| {
             endpoint.health.record_success();
             if is_reusable {
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::{Endpoint, EndpointKey, Fleet};
 use super::health::Health;
+use super::pace::Pace;
 use super::request::ModelRef;
 use super::view::{EndpointView, Load, LoadTable, Usability, load_of};
 use crate::clock::Millis;
@@ -23,8 +24,14 @@
     pub limited: &'a [EndpointKey],
     /// Identifier of the session: its requests prefer the same endpoint.
     pub affinity: Option<u64>,
-    /// How long the caller waits for the response to start.
-    pub response_start_timeout: Millis,
+    /// Target time to the response or, for a stream, to its first event.
+    pub target: Millis,
+    /// How fast the service's endpoints answer.
+    pub pace: Pace,
+    /// Tokens of the request's prompt.
+    pub prompt_tokens: u32,
+    /// Requests for the model that arrive at this gateway each second.
+    pub arrivals_per_s: f64,
     /// Number of gateways that send to the same endpoints, this one included.
     pub gateways: usize,
     /// Seed that selects which endpoints are compared if not all of them are.
@@ -39,39 +46,87 @@
 /// random choices the longest queue grows only with log log n for n endpoints
 /// (Mitzenmacher, The power of two choices, 2001).
 const MIN_SAMPLE: usize = 2;
+/// Weight of an endpoint without room among those that are compared.
+const MIN_SAMPLE_WEIGHT: f64 = 0.01;
 
-/// Time in which a busy engine completes as many requests as it has slots: the
-/// time to generate about 300 tokens in a full batch.
-pub const BATCH_DURATION: Millis = Millis(2_500);
-/// Share of the response start timeout that a request may spend in an engine's
-/// queue, in percent.
-const MAX_QUEUE_WAIT_PERCENT: u64 = 60;
+/// Share of the target that a request may wait at an engine before it begins, in percent.
+const MAX_WAIT_PERCENT: u64 = 25;
+/// Age of the news of loads, see [`super::load_exchange`].
+const NEWS_AGE: Millis = Millis(250);
 /// Permitted requests in flight per slot at a service without models. Its calls
 /// take tens of milliseconds, so that a short queue adds little delay.
 const REQUESTS_PER_SERVICE_SLOT: u32 = 5;
 
 impl Criteria<'_> {
-    /// The number of requests in flight at which an endpoint with this many slots
-    /// is full: a further request would start too late.
-    fn capacity(&self, slots: u32) -> u32 {
-        if self.model.is_none() {
-            return slots.saturating_mul(REQUESTS_PER_SERVICE_SLOT);
-        }
-        let queued = u64::from(slots) * self.response_start_timeout.0 * MAX_QUEUE_WAIT_PERCENT
-            / 100
-            / BATCH_DURATION.0;
-        slots.saturating_add(queued as u32)
+    /// How many further requests would begin in time at an engine: before a slot is free for
+    /// them, and before their prompts are read, others have to end or to be read.
+    fn room(&self, candidate: &Candidate<'_>) -> f64 {
+        let load = &candidate.load;
+        let max_wait = (self.target.0 * MAX_WAIT_PERCENT / 100) as f64;
+        let slots = f64::from(candidate.view.registration.slots);
+        let by_slots = slots * (1.0 + max_wait / self.run_ms()) - f64::from(load.requests);
+        let unread = self.pace.read_time(load.unread_tokens).0 as f64;
+        let by_reading = 1.0 + (max_wait - unread) / self.read_ms();
+        (by_slots.min(by_reading) + self.completed_meanwhile(candidate)).max(0.0)
+    }
+
+    /// How many requests an engine completes while news of it is on its way.
+    fn completed_meanwhile(&self, candidate: &Candidate<'_>) -> f64 {
+        let news_age = NEWS_AGE.0 as f64;
+        let by_slots = f64::from(candidate.load.requests) * news_age / self.run_ms();
+        by_slots.min(news_age / self.read_ms())
+    }
+
+    fn run_ms(&self) -> f64 {
+        self.pace.run_time().0 as f64
+    }
+
+    fn read_ms(&self) -> f64 {
+        (self.pace.read_time(self.prompt_tokens).0 as f64).max(1.0)
+    }
+
+    /// Whether a request is one of those for which the engines with room have room, given a
+    /// random number from 0 to 1. Other gateways choose by the same news at the same time, so
+    /// that all of them together would send more.
+    pub fn admits(&self, with_room: &[Candidate<'_>], draw: f64) -> bool {
+        self.model.is_none() || draw * self.arriving() <= self.total_room(with_room)
     }
 
-    /// How many of the candidates to compare. If many gateways compared all
-    /// endpoints by the same old load reports, they would all choose the same one
-    /// at the same time.
-    fn sample_size(&self, candidates: usize) -> usize {
-        let all = candidates * FULL_COMPARISON_GATEWAYS;
+    /// The requests for the model that arrive at all gateways while news is on its way.
+    fn arriving(&self) -> f64 {
+        self.arrivals_per_s * self.gateways as f64 * NEWS_AGE.0 as f64 / 1_000.0
+    }
+
+    fn total_room(&self, candidates: &[Candidate<'_>]) -> f64 {
+        candidates.iter().map(|c| self.room(c)).sum()
+    }
+
+    /// How many of the candidates to compare: one, drawn by their room, if more requests arrive
+    /// than there is room for. If many gateways compared all endpoints by the same old load
+    /// reports, they would all choose the same one at the same time.
+    fn sample_size(&self, candidates: &[Candidate<'_>]) -> usize {
+        let is_overloaded = self.arriving() > self.total_room(candidates);
+        if self.model.is_some() && is_overloaded && self.gateways > FULL_COMPARISON_GATEWAYS {
+            return 1;
+        }
+        let all = candidates.len() * FULL_COMPARISON_GATEWAYS;
         let share = all.div_ceil(self.gateways.max(FULL_COMPARISON_GATEWAYS));
         share.max(MIN_SAMPLE)
     }
 
+    /// Sorts endpoints at random, those with more room first on average (Efraimidis and
+    /// Spirakis, Weighted random sampling with a reservoir, 2006).
+    fn sample_key(&self, candidate: &Candidate<'_>) -> u64 {
+        let hash = rendezvous_weight(self.sample_seed, &candidate.view.registration.id);
+        let weight = match self.model {
+            Some(_) => self.room(candidate).max(MIN_SAMPLE_WEIGHT),
+            None => 1.0,
+        };
+        let draw = (hash as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        // Positive floating-point numbers sort as their bits do.
+        (-draw.ln() / weight).to_bits()
+    }
+
     /// Whether an endpoint can serve the request, whatever its load.
     pub fn serves(&self, endpoint: &Endpoint) -> bool {
         let registration = &endpoint.view.registration;
@@ -82,7 +137,12 @@
 
     /// Whether a further request would start too late at this endpoint.
     pub fn is_full(&self, candidate: &Candidate<'_>) -> bool {
-        candidate.load.requests >= self.capacity(candidate.view.registration.slots)
+        let requests = candidate.load.requests;
+        if self.model.is_none() {
+            let slots = candidate.view.registration.slots;
+            return requests >= slots.saturating_mul(REQUESTS_PER_SERVICE_SLOT);
+        }
+        requests > 0 && self.room(candidate) <= 0.0
     }
 }
 
@@ -99,18 +159,13 @@
     pub health: &'a Health,
 }
 
-/// Advantage of an endpoint in the gateway's own zone, in requests in flight.
-/// Crossing zones costs milliseconds and traffic, while one more request in
-/// a batch lengthens a decoding step by less than a thousandth.
-const ZONE_BONUS: f32 = 5.0;
-/// Advantage of the session's preferred endpoint, in requests in flight: it is
-/// likely to have the prompt's prefix in its cache.
-const AFFINITY_BONUS: f32 = 3.0;
-/// Prompt tokens waiting for prefill that delay a new request as much as one
-/// running request does. An engine prefills about 40 tokens per millisecond
-/// before it starts the new prompt, and a full batch adds a quarter of a second
-/// to 50 responses.
-const UNREAD_TOKENS_PER_REQUEST: f32 = 150.0;
+/// Advantage of an endpoint in the gateway's own zone, as a share of its slots. Crossing zones
+/// costs milliseconds and traffic, while one more request in a batch lengthens a decoding step
+/// by less than a thousandth.
+const ZONE_BONUS: f32 = 0.1;
+/// Advantage of the session's preferred endpoint, as a share of its slots: it is likely to have
+/// the prompt's prefix in its cache.
+const AFFINITY_BONUS: f32 = 0.06;
 /// Cost of a failure rate of 1, in requests in flight. A failed request costs a
 /// retry or the response itself.
 const FAILURE_PENALTY: f32 = 200.0;
@@ -164,26 +219,27 @@
         candidates.iter().max_by_key(weight).map(|c| c.key)
     });
     let cost = |c: &Candidate<'_>| {
+        let slots = c.view.registration.slots as f32;
         let mut cost = c.load.requests as f32;
-        cost += c.load.unread_tokens as f32 / UNREAD_TOKENS_PER_REQUEST;
+        // What delays the request, in requests that delay it as long.
+        let delay = criteria.pace.read_time(c.load.unread_tokens);
+        cost += slots * delay.0 as f32 / criteria.pace.run_time().0 as f32;
         cost += c.health.failure_rate() * FAILURE_PENALTY;
         if c.view.registration.zone == criteria.zone {
-            cost -= ZONE_BONUS;
+            cost -= ZONE_BONUS * slots;
         }
         if criteria.limited.contains(&c.key) {
             cost += LIMITED_PENALTY;
         }
         if preferred == Some(c.key) {
-            cost -= AFFINITY_BONUS;
+            cost -= AFFINITY_BONUS * slots;
         }
         cost
     };
     let mut sample: Vec<&'c Candidate<'a>> = candidates.iter().collect();
-    let sample_size = criteria.sample_size(candidates.len());
+    let sample_size = criteria.sample_size(candidates);
     if sample_size < candidates.len() {
-        sample.sort_unstable_by_key(|c| {
-            rendezvous_weight(criteria.sample_seed, &c.view.registration.id)
-        });
+        sample.sort_by_cached_key(|c| criteria.sample_key(c));
         let (sampled, rest) = sample.split_at(sample_size);
         let session = rest.iter().filter(|c| preferred == Some(c.key));
         sample = sampled.iter().chain(session).copied().collect();
--- a/src/direct/document.rs
+++ b/src/direct/document.rs
@@ -219,6 +219,15 @@
         matching.next()
     }
 
+    /// The shortest target of the streams that a service serves.
+    pub fn shortest_target(&self, service: &str) -> Option<Millis> {
+        let serves = |route: &&Route| {
+            let mut services = route.services.iter();
+            route.kind.is_stream() && services.any(|(name, weight)| *weight > 0 && name == service)
+        };
+        self.routes.iter().filter(serves).map(|r| r.target).min()
+    }
+
     /// Returns the workspace that a key belongs to.
     pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
         let at = self.keys.binary_search_by(|(k, _)| k.as_str().cmp(key));
--- a/src/direct/fleet.rs
+++ b/src/direct/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::connection::Connection;
 use super::health::Health;
+use super::pace::{Arrivals, Pace};
 use super::view::{EndpointView, Load, LoadTable, View};
 use crate::clock::Millis;
 
@@ -44,6 +45,10 @@
     generation: u64,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     by_id: Vec<(CompactString, u64, EndpointKey)>,
+    /// By service, sorted.
+    paces: Vec<(CompactString, Pace)>,
+    /// Requests for each model, by hash, sorted.
+    arrivals: Vec<(u32, Arrivals)>,
 }
 
 /// The traffic thread's shared handle to the endpoints.
@@ -105,6 +110,37 @@
         busy.map(|(_, e)| (e.view.registration.id.clone(), e.load.clone()))
             .collect()
     }
+
+    /// How fast the endpoints of a service answer this gateway.
+    pub fn pace(&self, service: &str) -> Pace {
+        let at = self.find_pace(service);
+        at.map_or_else(|_| Pace::default(), |at| self.paces[at].1)
+    }
+
+    /// Records that a request for a model arrived. Returns how many do each second without it.
+    pub fn record_arrival(&mut self, now: Millis, model: u32) -> f64 {
+        let at = self.arrivals.binary_search_by_key(&model, |(m, _)| *m);
+        let at = at.unwrap_or_else(|_| {
+            self.arrivals.retain(|(_, arrivals)| !arrivals.is_over(now));
+            let at = self.arrivals.partition_point(|(m, _)| *m < model);
+            self.arrivals.insert(at, (model, Arrivals::default()));
+            at
+        });
+        self.arrivals[at].1.record(now)
+    }
+
+    fn pace_mut(&mut self, service: &str) -> &mut Pace {
+        let at = self.find_pace(service).unwrap_or_else(|at| {
+            self.paces.insert(at, (service.into(), Pace::default()));
+            at
+        });
+        &mut self.paces[at].1
+    }
+
+    fn find_pace(&self, service: &str) -> Result<usize, usize> {
+        self.paces
+            .binary_search_by(|(s, _)| s.as_str().cmp(service))
+    }
 }
 
 impl Endpoint {
@@ -137,6 +173,16 @@
     key: EndpointKey,
     load: Load,
     version: CompactString,
+    state: State,
+}
+
+/// How far the response to a request has come.
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// The request was sent.
+    Sent(Millis),
+    /// The first event arrived.
+    Begun(Millis),
 }
 
 impl InFlight {
@@ -153,6 +199,7 @@
             key,
             load,
             version,
+            state: State::Sent(now),
         }
     }
 
@@ -169,12 +216,23 @@
 
     /// Records that the first event has arrived, which means that the endpoint has
     /// processed the prompt.
-    pub fn first_event_received(&mut self) {
+    pub fn first_event_received(&mut self, now: Millis) {
+        let prompt_tokens = std::mem::take(&mut self.load.unread_tokens);
         let read = Load {
-            unread_tokens: std::mem::take(&mut self.load.unread_tokens),
+            unread_tokens: prompt_tokens,
             ..Load::default()
         };
         self.update_endpoint(|endpoint| endpoint.load.remove(&read));
+        if let State::Sent(at) = std::mem::replace(&mut self.state, State::Begun(now)) {
+            self.update_pace(|pace| pace.record_start(prompt_tokens, now.since(at)));
+        }
+    }
+
+    /// Records that the response arrived to its end.
+    pub fn completed(&mut self, now: Millis) {
+        if let State::Begun(at) = self.state {
+            self.update_pace(|pace| pace.record_run(now.since(at)));
+        }
     }
 
     /// Applies `work` to the endpoint unless it was removed.
@@ -183,6 +241,14 @@
             work(endpoint);
         }
     }
+
+    fn update_pace(&self, work: impl FnOnce(&mut Pace)) {
+        let mut fleet = self.fleet.borrow_mut();
+        let registration = fleet.get(self.key).map(|e| e.view.registration.clone());
+        if let Some(registration) = registration {
+            work(fleet.pace_mut(&registration.service));
+        }
+    }
 }
 
 impl Drop for InFlight {
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -1,5 +1,6 @@
 //! Sends a request to an endpoint, and retries at another one where that is safe.
 
+mod choice;
 mod exchange;
 
 use std::cell::RefCell;
@@ -11,22 +12,19 @@
 use tokio::time::{sleep, timeout};
 
 use super::answer::UpstreamBody;
-use super::balance::{Criteria, candidates, choose};
 use super::buffers::BufferBudget;
 use super::control::{Event, Need};
 use super::crash_watch::{CrashWatch, Turn, Verdict};
-use super::fleet::{Endpoint, EndpointKey, Fleet, FleetCell};
+use super::fleet::{EndpointKey, FleetCell};
 use super::job::Job;
-use super::notices::{Permit, RunId};
 use super::refusal::Refusal;
-use super::request::{ModelRef, adapter_hash};
 use super::resume::ResumePoint;
 use super::retry_budget::RetryBudget;
 use super::shared::Shared;
-use super::view::Usability;
 use crate::clock::Millis;
 use crate::code::{Code, Ran};
 
+use choice::{Choice, Targets};
 use exchange::Attempt;
 
 /// The most endpoints at which one request is attempted, whether they run it or not.
@@ -42,9 +40,6 @@
 const MAX_STREAM_WAIT: Millis = Millis(2_600);
 /// The longest wait for an endpoint of a service without models to appear.
 const MAX_ENDPOINT_WAIT: Millis = Millis(500);
-/// How long an endpoint that said that it takes a limited rate is used less than others. A
-/// request after that finds out whether it still says so.
-const LIMIT_AVOIDED: Millis = Millis(1_000);
 /// `Retry-After` if no endpoint is known: an engine takes about this long to start
 /// or to load a model.
 const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(1_000);
@@ -62,27 +57,12 @@
     pub buffers: BufferBudget,
     crash_watch: Rc<CrashWatch>,
     budgets: RefCell<Vec<(CompactString, RetryBudget)>>,
+    targets: RefCell<Targets>,
 }
 
 /// An endpoint's response whose body has not been read yet.
 pub type UpstreamResponse = Response<UpstreamBody>;
 
-enum Choice {
-    Endpoint(EndpointKey),
-    /// Every endpoint that can serve the request is full.
-    AllFull,
-    /// Every endpoint that can serve the request wants none before this time.
-    AllPaused {
-        until: Millis,
-        /// Whether the leader would load the request's adapter at another endpoint.
-        is_movable: bool,
-    },
-    /// Every endpoint that could serve the request is leaving.
-    AllLeaving,
-    /// No endpoint can serve the request.
-    NoCandidate,
-}
-
 /// The attempts made so far for one request.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -105,6 +85,7 @@
             fleet: FleetCell::default(),
             buffers: BufferBudget::default(),
             budgets: RefCell::default(),
+            targets: RefCell::default(),
         })
     }
 
@@ -268,9 +249,10 @@
         let now = self.shared.now();
         let until = now + max_wait.min(Millis(job.time_left(now).0 / 3));
         let mut has_waited = false;
+        let admission = self.admission(job, history);
         loop {
             changed.borrow_and_update();
-            match self.choose_endpoint(job, history, resume) {
+            match self.choose_endpoint(job, history, resume, admission) {
                 Choice::Endpoint(key) => return Ok(key),
                 Choice::AllFull => {
                     let busy = Refusal::new(Code::Busy);
@@ -329,139 +311,6 @@
     fn return_spread(&self) -> Millis {
         Millis(rand::random_range(0..=BUSY_RETRY_AFTER.0))
     }
-
-    /// Endpoints that said that no request may be sent to them now, each with the time
-    /// from which one may.
-    fn held_back(&self, now: Millis, fleet: &Fleet) -> Vec<(EndpointKey, Option<Millis>)> {
-        self.shared.notices.with(|notices| {
-            if notices.is_empty() {
-                return Vec::new();
-            }
-            let permits = fleet.iter().map(|(key, endpoint)| {
-                let run = RunId::of(&endpoint.view.registration);
-                (key, notices.permit(now, run))
-            });
-            let held = permits.filter_map(|(key, permit)| match permit {
-                Permit::Now | Permit::Ask => None,
-                Permit::At(at) => Some((key, Some(at))),
-                Permit::Never => Some((key, None)),
-            });
-            held.collect()
-        })
-    }
-
-    /// Endpoints that said lately that they take a limited rate.
-    fn limited(&self, now: Millis, fleet: &Fleet) -> Vec<EndpointKey> {
-        self.shared.notices.with(|notices| {
-            if notices.is_empty() {
-                return Vec::new();
-            }
-            let limited = fleet.iter().filter(|(_, endpoint)| {
-                let limit = notices.limit(RunId::of(&endpoint.view.registration));
-                limit.is_some_and(|(_, heard_at)| now.since(heard_at) < LIMIT_AVOIDED)
-            });
-            limited.map(|(key, _)| key).collect()
-        })
-    }
-
-    /// Whether the leader would load the adapter of a request elsewhere: an endpoint holds its
-    /// model, and those with the adapter take a limited rate. The leader knows of no pauses.
-    fn is_adapter_movable(
-        &self,
-        fleet: &Fleet,
-        criteria: &Criteria<'_>,
-        excluded: &[EndpointKey],
-    ) -> bool {
-        let Some(wanted) = criteria.model.filter(|model| model.adapter.is_some()) else {
-            return false;
-        };
-        let base = ModelRef {
-            adapter: None,
-            ..wanted.clone()
-        };
-        let with_base = Criteria {
-            model: Some(&base),
-            ..criteria.clone()
-        };
-        let is_limited =
-            |endpoint: &Endpoint| matches!(endpoint.view.usability, Usability::Limited(_));
-        let mut holders = fleet.iter().filter(|(_, e)| criteria.serves(e));
-        let mut others = fleet.iter().filter(|(_, e)| with_base.serves(e));
-        holders.all(|(_, e)| e.view.usability != Usability::Open)
-            && others.any(|(key, e)| !excluded.contains(&key) && !is_limited(e))
-    }
-
-    /// Whether there are endpoints of the request's service, and none of them will take
-    /// it, even if it loads the model.
-    fn are_all_leaving(&self, fleet: &Fleet, job: &Job, resume: &ResumePoint) -> bool {
-        let registrations = fleet.iter().map(|(_, e)| &e.view.registration);
-        let mut able = registrations.filter(|r| {
-            let version = resume.version.as_ref();
-            r.service == job.service && version.is_none_or(|v| r.version == *v)
-        });
-        let mut are_any = false;
-        let is_leaving = able.all(|registration| {
-            are_any = true;
-            self.shared.notices.is_leaving(registration)
-        });
-        is_leaving && are_any
-    }
-
-    fn choose_endpoint(&self, job: &Job, history: &AttemptHistory, resume: &ResumePoint) -> Choice {
-        let now = self.shared.now();
-        let peer_loads = self.shared.peer_loads();
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.sync(&self.shared.view());
-        let held = self.held_back(now, &fleet);
-        let mut excluded = history.attempted.clone();
-        excluded.extend(held.iter().map(|(key, _)| *key));
-        let limited = self.limited(now, &fleet);
-        let criteria = Criteria {
-            service: &job.service,
-            model: job.metadata.model.as_ref(),
-            version: resume.version.as_deref(),
-            zone: &self.shared.settings.zone,
-            excluded: &excluded,
-            limited: &limited,
-            affinity: job.metadata.session(),
-            response_start_timeout: job.response_start_timeout,
-            gateways: self.shared.gateway_count(),
-            sample_seed: rand::random(),
-        };
-        let mut found = candidates(now, &fleet, &peer_loads, &criteria);
-        if found.is_empty() {
-            let able = |key: &EndpointKey| fleet.get(*key).is_some_and(|e| criteria.serves(e));
-            let paused = held.iter().filter(|(key, _)| able(key));
-            return match paused.filter_map(|(_, at)| *at).min() {
-                Some(until) => Choice::AllPaused {
-                    until,
-                    is_movable: self.is_adapter_movable(&fleet, &criteria, &excluded),
-                },
-                None if self.are_all_leaving(&fleet, job, resume) => Choice::AllLeaving,
-                None => Choice::NoCandidate,
-            };
-        }
-        found.retain(|c| !criteria.is_full(c));
-        let Some(chosen) = choose(&criteria, &found) else {
-            return Choice::AllFull;
-        };
-        job.log(
-            "request.sent",
-            &[
-                ("endpoint", (&chosen.view.registration.id).into()),
-                ("software", (&chosen.view.registration.version).into()),
-                ("candidates", found.len().into()),
-                ("in_flight", chosen.load.requests.into()),
-                ("unread_tokens", chosen.load.unread_tokens.into()),
-                ("suspect", chosen.health.is_suspect(now).into()),
-                ("waited_ms", now.since(job.arrived).into()),
-            ],
-        );
-        if let Some(wanted) = job.metadata.model.as_ref().filter(|m| m.adapter.is_some()) {
-            self.shared.record_adapter_use(adapter_hash(wanted));
-        }
-        Choice::Endpoint(chosen.key)
-    }
 }
 
 fn no_endpoint() -> Refusal {
--- /dev/null
+++ b/src/direct/forward/choice.rs
@@ -0,0 +1,240 @@
+//! Chooses the endpoint for a request among those that can serve it.
+
+use compact_str::CompactString;
+use rand::random;
+
+use super::{AttemptHistory, Forwarder};
+use crate::clock::Millis;
+use crate::direct::balance::{Criteria, candidates, choose};
+use crate::direct::document::Document;
+use crate::direct::fleet::{Endpoint, EndpointKey, Fleet};
+use crate::direct::job::Job;
+use crate::direct::notices::{Permit, RunId};
+use crate::direct::request::{ModelRef, adapter_hash};
+use crate::direct::resume::ResumePoint;
+use crate::direct::view::{Usability, model_hash};
+
+/// How long an endpoint that said that it takes a limited rate is used less than others. A
+/// request after that finds out whether it still says so.
+const LIMIT_AVOIDED: Millis = Millis(1_000);
+
+/// What was found for a request.
+pub(super) enum Choice {
+    Endpoint(EndpointKey),
+    /// Every endpoint that can serve the request is full.
+    AllFull,
+    /// Every endpoint that can serve the request wants none before this time.
+    AllPaused {
+        until: Millis,
+        /// Whether the leader would load the request's adapter at another endpoint.
+        is_movable: bool,
+    },
+    /// Every endpoint that could serve the request is leaving.
+    AllLeaving,
+    /// No endpoint can serve the request.
+    NoCandidate,
+}
+
+/// The shortest target of the streams of each service, sorted, in one configuration.
+#[derive(Default)]
+pub(super) struct Targets {
+    version: u64,
+    shortest: Vec<(CompactString, Option<Millis>)>,
+}
+
+impl Targets {
+    fn shortest(&mut self, document: &Document, service: &CompactString) -> Option<Millis> {
+        if self.version != document.version {
+            self.version = document.version;
+            self.shortest.clear();
+        }
+        let at = self
+            .shortest
+            .binary_search_by(|(name, _)| name.cmp(service));
+        let at = at.unwrap_or_else(|at| {
+            let target = document.shortest_target(service);
+            self.shortest.insert(at, (service.clone(), target));
+            at
+        });
+        self.shortest[at].1
+    }
+}
+
+/// What decides whether a request is one of those for which there is room.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Admission {
+    /// A random number from 0 to 1.
+    draw: f64,
+    /// Requests for its model that arrive here each second.
+    arrivals_per_s: f64,
+}
+
+impl Forwarder {
+    /// Counts a new request as an arrival. One that was attempted before is not turned away
+    /// for the sake of others.
+    pub(super) fn admission(&self, job: &Job, history: &AttemptHistory) -> Admission {
+        let wanted = job.metadata.model.as_ref();
+        let Some(wanted) = wanted.filter(|_| history.attempted.is_empty()) else {
+            return Admission::default();
+        };
+        let (now, model) = (self.shared.now(), model_hash(&wanted.model));
+        Admission {
+            draw: random(),
+            arrivals_per_s: self.fleet.borrow_mut().record_arrival(now, model),
+        }
+    }
+
+    /// Endpoints that said that no request may be sent to them now, each with the time
+    /// from which one may.
+    fn held_back(&self, now: Millis, fleet: &Fleet) -> Vec<(EndpointKey, Option<Millis>)> {
+        self.shared.notices.with(|notices| {
+            if notices.is_empty() {
+                return Vec::new();
+            }
+            let permits = fleet.iter().map(|(key, endpoint)| {
+                let run = RunId::of(&endpoint.view.registration);
+                (key, notices.permit(now, run))
+            });
+            let held = permits.filter_map(|(key, permit)| match permit {
+                Permit::Now | Permit::Ask => None,
+                Permit::At(at) => Some((key, Some(at))),
+                Permit::Never => Some((key, None)),
+            });
+            held.collect()
+        })
+    }
+
+    /// Endpoints that said lately that they take a limited rate.
+    fn limited(&self, now: Millis, fleet: &Fleet) -> Vec<EndpointKey> {
+        self.shared.notices.with(|notices| {
+            if notices.is_empty() {
+                return Vec::new();
+            }
+            let limited = fleet.iter().filter(|(_, endpoint)| {
+                let limit = notices.limit(RunId::of(&endpoint.view.registration));
+                limit.is_some_and(|(_, heard_at)| now.since(heard_at) < LIMIT_AVOIDED)
+            });
+            limited.map(|(key, _)| key).collect()
+        })
+    }
+
+    /// Whether the leader would load the adapter of a request elsewhere: an endpoint holds its
+    /// model, and those with the adapter take a limited rate. The leader knows of no pauses.
+    fn is_adapter_movable(
+        &self,
+        fleet: &Fleet,
+        criteria: &Criteria<'_>,
+        excluded: &[EndpointKey],
+    ) -> bool {
+        let Some(wanted) = criteria.model.filter(|model| model.adapter.is_some()) else {
+            return false;
+        };
+        let base = ModelRef {
+            adapter: None,
+            ..wanted.clone()
+        };
+        let with_base = Criteria {
+            model: Some(&base),
+            ..criteria.clone()
+        };
+        let is_limited =
+            |endpoint: &Endpoint| matches!(endpoint.view.usability, Usability::Limited(_));
+        let mut holders = fleet.iter().filter(|(_, e)| criteria.serves(e));
+        let mut others = fleet.iter().filter(|(_, e)| with_base.serves(e));
+        holders.all(|(_, e)| e.view.usability != Usability::Open)
+            && others.any(|(key, e)| !excluded.contains(&key) && !is_limited(e))
+    }
+
+    /// Whether there are endpoints of the request's service, and none of them will take
+    /// it, even if it loads the model.
+    fn are_all_leaving(&self, fleet: &Fleet, job: &Job, resume: &ResumePoint) -> bool {
+        let registrations = fleet.iter().map(|(_, e)| &e.view.registration);
+        let mut able = registrations.filter(|r| {
+            let version = resume.version.as_ref();
+            r.service == job.service && version.is_none_or(|v| r.version == *v)
+        });
+        let mut are_any = false;
+        let is_leaving = able.all(|registration| {
+            are_any = true;
+            self.shared.notices.is_leaving(registration)
+        });
+        is_leaving && are_any
+    }
+
+    /// The target that a queue at an engine has to allow for: a request that may wait longer
+    /// would make others late that may not.
+    fn queue_target(&self, job: &Job) -> Millis {
+        let mut targets = self.targets.borrow_mut();
+        let shortest = targets.shortest(&job.document, &job.service);
+        shortest.map_or(job.target, |shortest| shortest.min(job.target))
+    }
+
+    pub(super) fn choose_endpoint(
+        &self,
+        job: &Job,
+        history: &AttemptHistory,
+        resume: &ResumePoint,
+        admission: Admission,
+    ) -> Choice {
+        let now = self.shared.now();
+        let peer_loads = self.shared.peer_loads();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.sync(&self.shared.view());
+        let held = self.held_back(now, &fleet);
+        let mut excluded = history.attempted.clone();
+        excluded.extend(held.iter().map(|(key, _)| *key));
+        let limited = self.limited(now, &fleet);
+        let load = job.load();
+        let criteria = Criteria {
+            service: &job.service,
+            model: job.metadata.model.as_ref(),
+            version: resume.version.as_deref(),
+            zone: &self.shared.settings.zone,
+            excluded: &excluded,
+            limited: &limited,
+            affinity: job.metadata.session(),
+            target: self.queue_target(job),
+            pace: fleet.pace(&job.service),
+            prompt_tokens: load.unread_tokens,
+            arrivals_per_s: admission.arrivals_per_s,
+            gateways: self.shared.gateway_count(),
+            sample_seed: random(),
+        };
+        let mut found = candidates(now, &fleet, &peer_loads, &criteria);
+        if found.is_empty() {
+            let able = |key: &EndpointKey| fleet.get(*key).is_some_and(|e| criteria.serves(e));
+            let paused = held.iter().filter(|(key, _)| able(key));
+            return match paused.filter_map(|(_, at)| *at).min() {
+                Some(until) => Choice::AllPaused {
+                    until,
+                    is_movable: self.is_adapter_movable(&fleet, &criteria, &excluded),
+                },
+                None if self.are_all_leaving(&fleet, job, resume) => Choice::AllLeaving,
+                None => Choice::NoCandidate,
+            };
+        }
+        found.retain(|c| !criteria.is_full(c));
+        if !criteria.admits(&found, admission.draw) {
+            return Choice::AllFull;
+        }
+        let Some(chosen) = choose(&criteria, &found) else {
+            return Choice::AllFull;
+        };
+        job.log(
+            "request.sent",
+            &[
+                ("endpoint", (&chosen.view.registration.id).into()),
+                ("software", (&chosen.view.registration.version).into()),
+                ("candidates", found.len().into()),
+                ("in_flight", chosen.load.requests.into()),
+                ("unread_tokens", chosen.load.unread_tokens.into()),
+                ("suspect", chosen.health.is_suspect(now).into()),
+                ("waited_ms", now.since(job.arrived).into()),
+            ],
+        );
+        if let Some(wanted) = job.metadata.model.as_ref().filter(|m| m.adapter.is_some()) {
+            self.shared.record_adapter_use(adapter_hash(wanted));
+        }
+        Choice::Endpoint(chosen.key)
+    }
+}
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -234,7 +234,6 @@
             max_endpoints: route.max_endpoints,
             arrived,
             target: route.target,
-            response_start_timeout: route.response_start_timeout(),
             deadline: arrived + request_timeout,
             method: parts.method,
             uri: parts.uri,
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -37,8 +37,6 @@
     pub arrived: Millis,
     /// Target time to the response or, for a stream, to its first event.
     pub target: Millis,
-    /// How long the caller waits for the response to start.
-    pub response_start_timeout: Millis,
     /// When it times out, by the caller's timeout or the route's, whichever is
     /// shorter.
     pub deadline: Millis,
@@ -102,7 +100,6 @@
             unread_tokens: prompt,
             tokens: prompt.saturating_add(output),
             models: model.map(|m| (model_hash(&m.model), 1)).collect(),
-            wait: Millis::ZERO,
         }
     }
 
--- a/src/direct/load_exchange.rs
+++ b/src/direct/load_exchange.rs
@@ -28,8 +28,6 @@
     pub requests: u32,
     /// Prompt tokens of requests whose first event has not arrived.
     pub unread_tokens: u32,
-    /// How long requests wait there before they begin.
-    pub wait: Millis,
 }
 
 /// A part of a table that may not fit a datagram.
@@ -256,7 +254,6 @@
         endpoint: endpoint_hash(endpoint),
         requests: load.requests,
         unread_tokens: load.unread_tokens,
-        wait: load.wait,
     });
     merge(rows.collect())
 }
@@ -272,7 +269,6 @@
         let load = Load {
             requests: row.requests,
             unread_tokens: row.unread_tokens,
-            wait: row.wait,
             ..Load::default()
         };
         Some((endpoint.clone(), load))
@@ -302,15 +298,13 @@
         if is_same {
             sum.requests = sum.requests.saturating_add(row.requests);
             sum.unread_tokens = sum.unread_tokens.saturating_add(row.unread_tokens);
-            sum.wait = sum.wait.max(row.wait);
         }
         is_same
     });
     rows
 }
 
-/// Rows less those that some of the requests make up. Waits remain: they are those of the
-/// endpoint, whoever saw them.
+/// Rows less those that some of the requests make up.
 fn without(total: &[LoadRow], part: &[LoadRow]) -> Rows {
     let rest = total.iter().map(|row| {
         let at = part.binary_search_by_key(&row.endpoint, |r| r.endpoint);
@@ -321,6 +315,6 @@
             ..*row
         }
     });
-    rest.filter(|r| r.requests > 0 || r.unread_tokens > 0 || r.wait > Millis::ZERO)
+    rest.filter(|r| r.requests > 0 || r.unread_tokens > 0)
         .collect()
 }
--- a/src/direct/notices/board.rs
+++ b/src/direct/notices/board.rs
@@ -8,7 +8,6 @@
 
 use super::{LimitChange, News, Notice, Notices, Permit, RunId};
 use crate::clock::Millis;
-use crate::direct::balance::BATCH_DURATION;
 use crate::direct::dialect::Registration;
 use crate::direct::rate_owner::{Grant, RequestRate};
 use crate::direct::view::{EndpointView, Usability};
@@ -16,6 +15,8 @@
 
 /// An endpoint that takes less than its usual rate, divided by this, gets no new models.
 const LIMITED_DIVISOR: u64 = 2;
+/// Time in which an engine that runs as many requests as it has slots completes them.
+const BATCH_DURATION: Millis = Millis(2_500);
 
 /// What a gateway heard of the rate that an endpoint takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/direct/pace.rs
+++ b/src/direct/pace.rs
@@ -1,5 +1,5 @@
-//! How fast the endpoints of a service answer, and how long requests wait at one of them,
-//! learned from their responses.
+//! How fast the endpoints of a service answer, learned from their responses, and how many
+//! requests arrive.
 //!
 //! Nothing here does I/O.
 
@@ -14,6 +14,8 @@
 const RUN_WEIGHT: f64 = 0.05;
 /// Duration that is assumed before the first response has ended.
 const DEFAULT_RUN_MS: f64 = 1_000.0;
+/// Time over which arrivals are averaged.
+const ARRIVAL_SPAN_MS: f64 = 2_000.0;
 
 /// The pace of a service's endpoints.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,51 +63,29 @@
     pub fn run_time(&self) -> Millis {
         Millis((self.run_ms as u64).max(1))
     }
-
-    /// How long a request waits at an endpoint that has these requests and no room for it.
-    pub fn queue_wait(&self, requests: u32, slots: u32) -> Millis {
-        let ahead = (requests + 1).saturating_sub(slots);
-        Millis((self.run_ms * f64::from(ahead) / f64::from(slots.max(1))) as u64)
-    }
 }
 
-/// The starts of one gateway's requests at an endpoint.
-#[derive(Clone, Debug, Default)]
-pub struct Starts {
-    /// When the responses of the requests that have not begun would begin if none of them
-    /// waited, sorted.
-    due: Vec<Millis>,
-    /// How long the last request to begin had waited, and when it began.
-    last: Option<(Millis, Millis)>,
+/// The rate at which requests arrive, as an exponential average over time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrivals {
+    per_s: f64,
+    at: Millis,
 }
 
-impl Starts {
-    /// A request was sent whose response begins at `due` unless it has to wait.
-    pub fn sent(&mut self, due: Millis) {
-        let at = self.due.partition_point(|known| *known <= due);
-        self.due.insert(at, due);
-    }
-
-    /// The response to a request began.
-    pub fn began(&mut self, now: Millis, due: Millis) {
-        self.ended(due);
-        self.last = Some((now.since(due), now));
-    }
-
-    /// A request is over without a response.
-    pub fn ended(&mut self, due: Millis) {
-        if let Ok(at) = self.due.binary_search(&due) {
-            self.due.remove(at);
-        }
+impl Arrivals {
+    /// Records that a request arrived. Returns the rate without it.
+    pub fn record(&mut self, now: Millis) -> f64 {
+        let age = now.since(self.at).0 as f64;
+        let before = self.per_s * (-age / ARRIVAL_SPAN_MS).exp();
+        *self = Self {
+            per_s: before + 1_000.0 / ARRIVAL_SPAN_MS,
+            at: now,
+        };
+        before
     }
 
-    /// How long a request that is sent now waits at least. What waited when the last response
-    /// began has begun after the same time, unless more was sent meanwhile.
-    pub fn wait(&self, now: Millis) -> Millis {
-        let oldest = self.due.first().map_or(Millis::ZERO, |due| now.since(*due));
-        let last = self
-            .last
-            .map_or(Millis::ZERO, |(wait, at)| wait.since(now.since(at)));
-        oldest.max(last)
+    /// Whether none has arrived for so long that the rate is no longer of use.
+    pub fn is_over(&self, now: Millis) -> bool {
+        now.since(self.at).0 as f64 > 5.0 * ARRIVAL_SPAN_MS
     }
 }
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -230,7 +230,7 @@
                     .update_endpoint(|e| e.health.record_data(now, true));
             }
             if !self.has_started {
-                upstream_body.in_flight.first_event_received();
+                upstream_body.in_flight.first_event_received(now);
             }
             if upstream_body.progress.is_event_too_large() {
                 return Err(EventTooLarge);
--- a/src/direct/view.rs
+++ b/src/direct/view.rs
@@ -11,7 +11,6 @@
 use super::rate_owner::RequestRate;
 use super::request::ModelRef;
 use super::streams::VersionHistory;
-use crate::clock::Millis;
 
 /// Whether an endpoint may receive requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,10 +82,6 @@
     pub tokens: u32,
     /// The number of requests by hash of the model's name, which keeps messages small.
     pub models: Vec<(u32, u32)>,
-    /// How long requests wait at the endpoint before they begin. Gateways tell it each other
-    /// in [`super::load_exchange`] only.
-    #[serde(skip)]
-    pub wait: Millis,
 }
 
 /// Returns the hash that identifies a model in a [`Load`].
@@ -100,7 +95,6 @@
         self.requests += other.requests;
         self.unread_tokens += other.unread_tokens;
         self.tokens += other.tokens;
-        self.wait = self.wait.max(other.wait);
         for (model, requests) in &other.models {
             match self.models.iter_mut().find(|(m, _)| m == model) {
                 Some((_, known)) => *known += requests,
--- a/standins/src/bin/rattanstall-experiment/leader.rs
+++ b/standins/src/bin/rattanstall-experiment/leader.rs
@@ -242,7 +242,6 @@
             unread_tokens: 100,
             tokens: 2_000,
             models: vec![(number as u32, 3)],
-            ..Load::default()
         };
         (format_compact!("e{number:03}"), load)
     });
--- a/tests/direct_balance.rs
+++ b/tests/direct_balance.rs
@@ -11,6 +11,7 @@
 use rattanstall::direct::balance::{Criteria, candidates, choose};
 use rattanstall::direct::dialect::Registration;
 use rattanstall::direct::fleet::Fleet;
+use rattanstall::direct::pace::Pace;
 use rattanstall::direct::request::ModelRef;
 use rattanstall::direct::view::{Load, LoadTable, View};
 
@@ -59,7 +60,10 @@
         excluded: &[],
         limited: &[],
         affinity: None,
-        response_start_timeout: Millis(12_000),
+        target: Millis(12_000),
+        pace: Pace::default(),
+        prompt_tokens: 0,
+        arrivals_per_s: 0.0,
         gateways,
         sample_seed,
     }
--- a/tests/direct_goodput.rs
+++ b/tests/direct_goodput.rs
@@ -23,7 +23,8 @@
 fn criteria<'a>(
     model: &'a ModelRef,
     scenario: &Scenario,
-    _: &Fleet,
+    fleet: &Fleet,
+    arrivals_per_s: f64,
     sample_seed: u64,
 ) -> Criteria<'a> {
     Criteria {
@@ -34,18 +35,21 @@
         excluded: &[],
         limited: &[],
         affinity: None,
-        response_start_timeout: Millis(scenario.target_ms * 12),
+        target: Millis(scenario.target_ms),
+        pace: fleet.pace("s"),
+        prompt_tokens: scenario.prompt_tokens,
+        arrivals_per_s,
         gateways: scenario.gateways,
         sample_seed,
     }
 }
 
-fn begin(in_flight: &mut InFlight, _: Millis) {
-    in_flight.first_event_received();
+fn begin(in_flight: &mut InFlight, now: Millis) {
+    in_flight.first_event_received(now);
 }
 
-fn end(in_flight: InFlight, _: Millis) {
-    drop(in_flight);
+fn end(mut in_flight: InFlight, now: Millis) {
+    in_flight.completed(now);
 }
 
 fn loads(fleet: &Fleet, _: Millis) -> LoadTable {
@@ -123,3 +127,21 @@
     let missed = check(scenario);
     assert!(missed.is_empty(), "{missed:#?}");
 }
+
+// Guards against a service that collapses the more requests arrive.
+#[test]
+fn four_times_the_capacity_leaves_what_twice_the_capacity_does_in_time() {
+    let few = [4, 31, 68].map(|gateways| Scenario {
+        gateways,
+        ..FEW_SLOTS
+    });
+    for scenario in few.into_iter().chain([LONG_PROMPTS]) {
+        let [twice, four_times] = [2.0, 4.0].map(|load| play(Scenario { load, ..scenario }));
+        assert!(
+            four_times.in_time * 100 >= twice.in_time * MIN_GOODPUT_PERCENT,
+            "{} gateways: {twice:?}, {four_times:?}",
+            scenario.gateways
+        );
+        assert!(twice.in_time > 0, "{twice:?}");
+    }
+}
--- a/tests/direct_parts.rs
+++ b/tests/direct_parts.rs
@@ -18,6 +18,7 @@
 };
 use rattanstall::direct::health::Health;
 use rattanstall::direct::members::{Member, Members};
+use rattanstall::direct::pace::Pace;
 use rattanstall::direct::request::ModelRef;
 use rattanstall::direct::resume::EventTracker;
 use rattanstall::direct::retry_budget::{RetryBudget, RetryLimit};
@@ -127,7 +128,10 @@
         excluded: &[],
         limited: &[],
         affinity: None,
-        response_start_timeout: Millis(2_000),
+        target: Millis(2_000),
+        pace: Pace::default(),
+        prompt_tokens: 0,
+        arrivals_per_s: 0.0,
         gateways: 2,
         sample_seed: 0,
     }
--- a/tests/support/goodput.rs
+++ b/tests/support/goodput.rs
@@ -13,7 +13,7 @@
 use rattanstall::direct::dialect::Registration;
 use rattanstall::direct::fleet::{EndpointKey, Fleet, FleetCell, InFlight};
 use rattanstall::direct::request::ModelRef;
-use rattanstall::direct::view::{Load, LoadTable, View, load_of};
+use rattanstall::direct::view::{Load, LoadTable, View, load_of, model_hash};
 
 use crate::criteria;
 use crate::open_endpoint::open;
@@ -280,13 +280,18 @@
                 ..Load::default()
             };
             let seed = rng.random_range(0..u64::MAX);
+            let per_s = fleet
+                .borrow_mut()
+                .record_arrival(Millis(now), model_hash(&model.model));
             let id = {
                 let fleet = fleet.borrow();
-                let criteria = criteria(&model, &scenario, &fleet, seed);
+                let criteria = criteria(&model, &scenario, &fleet, per_s, seed);
                 let known = known.borrow();
                 let mut found = candidates(Millis(now), &fleet, &known[gateway], &criteria);
                 found.retain(|c| !criteria.is_full(c));
-                choose(&criteria, &found).map(|c| c.view.registration.id.clone())
+                let is_admitted = criteria.admits(&found, rng.random_range(0.0..1.0));
+                let chosen = choose(&criteria, &found).filter(|_| is_admitted);
+                chosen.map(|c| c.view.registration.id.clone())
             };
             let req = Request {
                 arrived: now,
