How long requests may wait at an engine depends on the age of the news of loads

Cause: with four gateways, which know each other's loads within 100 ms, a quarter of the shortest target leaves room for two prompts that are not read yet, less than what begins in time.

Change: 60 % of the target where gateways tell each other directly, a quarter where collectors pass the news on; prompts count by the request's own target, slots by the shortest.

--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -26,6 +26,8 @@
     pub affinity: Option<u64>,
     /// Target time to the response or, for a stream, to its first event.
     pub target: Millis,
+    /// The shortest target of requests to the service: a queue at an endpoint delays them all.
+    pub queue_target: Millis,
     /// How fast the service's endpoints answer.
     pub pace: Pace,
     /// Tokens of the request's prompt.
@@ -50,9 +52,13 @@
 const MIN_SAMPLE_WEIGHT: f64 = 0.01;
 
 /// Share of the target that a request may wait at an engine before it begins, in percent.
-const MAX_WAIT_PERCENT: u64 = 25;
-/// Age of the news of loads, see [`super::load_exchange`].
+const MAX_WAIT_PERCENT: u64 = 60;
+/// The same where the news of loads is older: what arrived meanwhile adds to the wait.
+const MAX_UNCERTAIN_WAIT_PERCENT: u64 = 25;
+/// Age of the news of loads that collectors pass on, see [`super::load_exchange`].
 const NEWS_AGE: Millis = Millis(250);
+/// Age of the news of loads in fleets whose gateways tell each other directly.
+const DIRECT_NEWS_AGE: Millis = Millis(100);
 /// Permitted requests in flight per slot at a service without models. Its calls
 /// take tens of milliseconds, so that a short queue adds little delay.
 const REQUESTS_PER_SERVICE_SLOT: u32 = 5;
@@ -62,19 +68,39 @@
     /// them, and before their prompts are read, others have to end or to be read.
     fn room(&self, candidate: &Candidate<'_>) -> f64 {
         let load = &candidate.load;
-        let max_wait = (self.target.0 * MAX_WAIT_PERCENT / 100) as f64;
         let slots = f64::from(candidate.view.registration.slots);
-        let by_slots = slots * (1.0 + max_wait / self.run_ms()) - f64::from(load.requests);
+        let queued = slots * self.max_wait_ms(self.queue_target) / self.run_ms();
+        let by_slots = slots + queued - f64::from(load.requests);
         let unread = self.pace.read_time(load.unread_tokens).0 as f64;
-        let by_reading = 1.0 + (max_wait - unread) / self.read_ms();
+        let by_reading = 1.0 + (self.max_wait_ms(self.target) - unread) / self.read_ms();
         (by_slots.min(by_reading) + self.completed_meanwhile(candidate)).max(0.0)
     }
 
     /// How many requests an engine completes while news of it is on its way.
     fn completed_meanwhile(&self, candidate: &Candidate<'_>) -> f64 {
-        let news_age = NEWS_AGE.0 as f64;
-        let by_slots = f64::from(candidate.load.requests) * news_age / self.run_ms();
-        by_slots.min(news_age / self.read_ms())
+        let by_slots = f64::from(candidate.load.requests) * self.news_age_ms() / self.run_ms();
+        by_slots.min(self.news_age_ms() / self.read_ms())
+    }
+
+    /// How long a request with a target may wait at an engine, in milliseconds.
+    fn max_wait_ms(&self, target: Millis) -> f64 {
+        let percent = match self.is_news_direct() {
+            true => MAX_WAIT_PERCENT,
+            false => MAX_UNCERTAIN_WAIT_PERCENT,
+        };
+        (target.0 * percent / 100) as f64
+    }
+
+    fn news_age_ms(&self) -> f64 {
+        match self.is_news_direct() {
+            true => DIRECT_NEWS_AGE.0 as f64,
+            false => NEWS_AGE.0 as f64,
+        }
+    }
+
+    /// Whether the gateways tell each other their loads without a collector.
+    fn is_news_direct(&self) -> bool {
+        self.gateways <= FULL_COMPARISON_GATEWAYS
     }
 
     fn run_ms(&self) -> f64 {
@@ -94,7 +120,7 @@
 
     /// The requests for the model that arrive at all gateways while news is on its way.
     fn arriving(&self) -> f64 {
-        self.arrivals_per_s * self.gateways as f64 * NEWS_AGE.0 as f64 / 1_000.0
+        self.arrivals_per_s * self.gateways as f64 * self.news_age_ms() / 1_000.0
     }
 
     fn total_room(&self, candidates: &[Candidate<'_>]) -> f64 {
--- a/tests/direct_balance.rs
+++ b/tests/direct_balance.rs
@@ -61,6 +61,7 @@
         limited: &[],
         affinity: None,
         target: Millis(12_000),
+        queue_target: Millis(12_000),
         pace: Pace::default(),
         prompt_tokens: 0,
         arrivals_per_s: 0.0,
--- a/tests/direct_goodput.rs
+++ b/tests/direct_goodput.rs
@@ -36,6 +36,7 @@
         limited: &[],
         affinity: None,
         target: Millis(scenario.target_ms),
+        queue_target: Millis(scenario.target_ms),
         pace: fleet.pace("s"),
         prompt_tokens: scenario.prompt_tokens,
         arrivals_per_s,
--- a/tests/direct_parts.rs
+++ b/tests/direct_parts.rs
@@ -129,6 +129,7 @@
         limited: &[],
         affinity: None,
         target: Millis(2_000),
+        queue_target: Millis(2_000),
         pace: Pace::default(),
         prompt_tokens: 0,
         arrivals_per_s: 0.0,
