--- a/tests/direct_relay_fleet.rs
+++ b/tests/direct_relay_fleet.rs
@@ -9,11 +9,11 @@
 mod relay_fleet;
 
 use rattanstall::clock::Millis;
-use relay_fleet::RelayFleet;
+use relay_fleet::{DRAIN_MS, RelayFleet};
 
-/// Half of the shortest drain time that operators set: for the other half, a gateway uses
-/// an endpoint that leaves where no other can serve a request.
-const NEWS_MS: u64 = 1_000;
+/// Half of the shortest drain time: for the other half, a gateway uses an endpoint that
+/// leaves where no other can serve a request.
+const NEWS_MS: u64 = DRAIN_MS / 2;
 /// The most reads of the store that all gateways together may make in a second.
 const READS_PER_S: u64 = 500;
 /// The most datagrams about registrations that a gateway may send in a second, at which
@@ -120,3 +120,57 @@
         assert!(fleet.peak_watches(1) <= READS_PER_S, "{gateways} gateways");
     }
 }
+
+/// Lets the leader and others fall silent while the store refuses some, in some fleets the
+/// endpoints too, and one of these leave soon after.
+fn fleet_in_trouble(gateways: usize, seed: u64) -> RelayFleet {
+    let loss = [0.01, 0.1][seed as usize % 2];
+    let mut fleet = RelayFleet::new(gateways, loss, seed);
+    fleet.run_until(2_000 + seed * 37 % 200 / 5 * 5);
+    fleet.silence(0);
+    for number in (1..gateways).filter(|number| number % 6 == 2) {
+        fleet.silence(number);
+    }
+    for number in (1..gateways).filter(|number| number % 3 == 1) {
+        fleet.refuse(number);
+    }
+    if seed % 3 == 1 {
+        fleet.silence_endpoints();
+    }
+    fleet.run_until(2_200 + seed * 53 % 700 / 5 * 5);
+    fleet.drain(7);
+    fleet
+}
+
+/// Numbers of gateways and seeds.
+const FLEETS: [(usize, u64); 3] = [(4, 100), (31, 20), (68, 6)];
+
+// Guards against requests to an endpoint that said that it leaves, from gateways that hear of
+// it late.
+#[test]
+fn no_gateway_uses_an_endpoint_after_its_drain_time() {
+    for (gateways, seeds) in FLEETS {
+        for seed in 0..seeds {
+            let mut fleet = fleet_in_trouble(gateways, seed);
+            fleet.run_until(fleet.now() + DRAIN_MS);
+            assert_eq!(fleet.users(7), [0; 0], "{gateways} gateways, seed {seed}");
+        }
+    }
+}
+
+// Guards against requests to an endpoint that left, at the moment at which a gateway hears
+// that its registration is gone.
+#[test]
+fn no_gateway_uses_an_endpoint_again_when_its_registration_goes() {
+    for (gateways, seeds) in FLEETS {
+        for seed in 0..seeds {
+            let mut fleet = fleet_in_trouble(gateways, seed);
+            fleet.run_until(fleet.now() + DRAIN_MS);
+            fleet.remove(7);
+            for _ in 0..200 {
+                fleet.run_until(fleet.now() + 5);
+                assert_eq!(fleet.users(7), [0; 0], "{gateways} gateways, seed {seed}");
+            }
+        }
+    }
+}
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -11,11 +11,15 @@
 use rattanstall::direct::control::{Control, Effect, Event, LeaderRecord, LocalUsage, Pauses};
 use rattanstall::direct::dialect::{EndpointState, Registration};
 use rattanstall::direct::gossip::{Datagram, Message};
+use rattanstall::direct::registry::RegistryChange;
 use rattanstall::direct::view::Usability;
 
 use crate::fleet::{gateway, member, settings};
 use crate::registration::registration;
 
+/// The shortest drain time that operators set.
+pub const DRAIN_MS: u64 = 2_000;
+
 const STEP_MS: u64 = 5;
 const TICK_MS: u64 = 50;
 /// Interval at which gateways broadcast, so that they hear each other.
@@ -43,10 +47,11 @@
     gateways: Vec<Gateway>,
     now: u64,
     /// The store's log, from revision 1 on.
-    log: Vec<Registration>,
+    log: Vec<RegistryChange>,
     in_flight: BTreeMap<(u64, u64), (usize, Datagram)>,
     datagrams: u64,
     loss: f64,
+    are_endpoints_silent: bool,
     rng: ChaCha8Rng,
     /// Watches that returned, by second.
     watches: BTreeMap<u64, u64>,
@@ -58,13 +63,15 @@
     /// A fleet in which gateway 0 leads and all have read the store at time 0.
     pub fn new(gateways: usize, loss: f64, seed: u64) -> Self {
         let endpoints = (0..ENDPOINTS).map(|at| registration(&endpoint(at), 1, &["m"]));
-        let log: Vec<Registration> = endpoints.collect();
-        let revision = log.len() as u64;
+        let all: Vec<Registration> = endpoints.collect();
+        let revision = all.len() as u64;
         let gateways = (0..gateways).map(|number| {
-            let mut control = Control::new(Arc::new(settings(number)));
+            let mut settings = settings(number);
+            settings.bounds.drain = Millis(DRAIN_MS);
+            let mut control = Control::new(Arc::new(settings));
             let members = (0..gateways).filter(|n| *n != number).map(member);
             for event in [
-                Event::Registrations(log.clone()),
+                Event::Registrations(all.clone()),
                 Event::RegistryRead {
                     revision,
                     is_full_list: true,
@@ -97,10 +104,11 @@
         Self {
             gateways: gateways.collect(),
             now: 0,
-            log,
+            log: all.into_iter().map(RegistryChange::Put).collect(),
             in_flight: BTreeMap::new(),
             datagrams: 0,
             loss,
+            are_endpoints_silent: false,
             rng: ChaCha8Rng::seed_from_u64(seed),
             watches: BTreeMap::new(),
             relayed: BTreeMap::new(),
@@ -117,13 +125,35 @@
         self.gateways[number].is_silent = true;
     }
 
+    /// The endpoints don't write their registrations again from now on.
+    pub fn silence_endpoints(&mut self) {
+        self.are_endpoints_silent = true;
+    }
+
     /// An endpoint registers that it leaves.
     pub fn drain(&mut self, number: u64) {
         let leaving = Registration {
             state: EndpointState::Draining,
             ..registration(&endpoint(number), 1, &["m"])
         };
-        self.log.push(leaving);
+        self.log.push(RegistryChange::Put(leaving));
+    }
+
+    /// The registration of an endpoint is removed.
+    pub fn remove(&mut self, number: u64) {
+        self.log.push(RegistryChange::Removed(endpoint(number)));
+    }
+
+    /// Gateways that would send a request to an endpoint if no other could serve it.
+    pub fn users(&mut self, number: u64) -> Vec<usize> {
+        let (now, id) = (Millis(self.now), endpoint(number));
+        let gateways = self.gateways.iter_mut().enumerate();
+        let users = gateways.filter_map(|(at, gateway)| {
+            let view = gateway.control.view(now);
+            let is_listed = view.endpoints.iter().any(|e| e.registration.id == id);
+            (is_listed && !gateway.is_silent).then_some(at)
+        });
+        users.collect()
     }
 
     /// Gateways that would still send requests to an endpoint.
@@ -139,6 +169,11 @@
         unaware.collect()
     }
 
+    /// The time.
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
     /// The pauses of a gateway between its calls of the store.
     pub fn pauses(&self, number: usize) -> Pauses {
         self.gateways[number].control.pauses()
@@ -172,12 +207,16 @@
 
     /// Endpoints write their registrations again.
     fn rewrite(&mut self) {
+        if self.are_endpoints_silent {
+            return;
+        }
         for number in 0..ENDPOINTS {
             let phase = number * REWRITE_MS / ENDPOINTS / STEP_MS * STEP_MS;
             if self.now % REWRITE_MS == phase {
                 let id = endpoint(number);
-                let last = self.log.iter().rev().find(|r| r.id == id).cloned();
-                self.log.extend(last);
+                let last = self.log.iter().rev().find(|c| *c.id() == id).cloned();
+                self.log
+                    .extend(last.filter(|c| matches!(c, RegistryChange::Put(_))));
             }
         }
     }
@@ -218,8 +257,12 @@
         gateway.followed = revision;
         gateway.next_watch = now + gateway.control.pauses().registry.0.max(STEP_MS);
         *self.watches.entry(now / 1_000).or_default() += 1;
-        for registration in news {
-            self.reduce(at, Event::Registered(registration));
+        for change in news {
+            let event = match change {
+                RegistryChange::Put(registration) => Event::Registered(registration),
+                RegistryChange::Removed(id) => Event::Deregistered(id),
+            };
+            self.reduce(at, event);
         }
         let read = Event::RegistryRead {
             revision,
