An endpoint that left is not used again when its registration goes

Callers' requests reached an endpoint seconds after it had said that it leaves (DRAIN).

Cause: one time and one flag stood for two things, "said that it leaves" and "registration gone". The removal of a registration made its endpoint usable for a grace period, also one that had been closed for good: from the removal to the next tick (50 ms), for the time to register again after the store's return (2 s), and without end while the store is away. Requests that waited for an endpoint were woken by the removal and sent at once.

Change: an endpoint that said that it leaves is closed by that alone, whatever becomes of its registration, and is dropped as soon as that is gone.

--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -244,17 +244,16 @@
     /// Drops the endpoints whose registration was removed and whose grace period is over.
     pub fn expire(&mut self, now: Millis) -> Vec<Change> {
         let grace = self.lapsed_grace(now);
-        let drain = Millis(self.grace.drain.0 / ASSIGNMENT_GRACE_DIVISOR);
+        let assignment = self.assignment_grace();
         let mut gone = Vec::new();
         self.entries.retain(|entry| {
-            let Some(since) = entry.leaving_since else {
-                return true;
-            };
-            let bound = if entry.is_lapsed { grace } else { drain };
-            let is_kept = now.since(since) <= bound || (self.is_store_lost && entry.is_lapsed);
             // A draining endpoint is kept until its registration is removed.
             // Otherwise the next full list would add it as a new one.
-            let is_kept = is_kept || !entry.is_lapsed;
+            let Some(since) = entry.leaving_since.filter(|_| entry.is_lapsed) else {
+                return true;
+            };
+            let is_awaited = now.since(since) <= grace || self.is_store_lost;
+            let is_kept = is_awaited && !entry.is_drained(now, assignment);
             if !is_kept {
                 let registration = &entry.registration;
                 gone.push(Change::Gone(registration.id.clone()));
@@ -275,26 +274,28 @@
             .is_some_and(|at| now.since(at) <= self.grace.relist);
         match is_relisting {
             true => self.grace.relist,
-            false => Millis(self.grace.drain.0 / ASSIGNMENT_GRACE_DIVISOR),
+            false => self.assignment_grace(),
         }
     }
 
+    /// How long an endpoint still gets requests after it said that it leaves.
+    fn assignment_grace(&self) -> Millis {
+        Millis(self.grace.drain.0 / ASSIGNMENT_GRACE_DIVISOR)
+    }
+
     /// The endpoints that requests may use, sorted by identifier.
     pub fn views(&self, now: Millis) -> Vec<EndpointView> {
-        let usable = self.entries.iter().filter(|e| self.is_usable(now, e));
+        let assignment = self.assignment_grace();
+        let usable = self.entries.iter();
+        let usable = usable.filter(|e| !e.is_drained(now, assignment));
         usable.map(Entry::view).collect()
     }
 
     /// One of the endpoints that requests may use.
     pub fn view_of(&self, now: Millis, id: &str) -> Option<EndpointView> {
         let entry = &self.entries[self.find(id).ok()?];
-        self.is_usable(now, entry).then(|| entry.view())
-    }
-
-    fn is_usable(&self, now: Millis, entry: &Entry) -> bool {
-        let drain = Millis(self.grace.drain.0 / ASSIGNMENT_GRACE_DIVISOR);
-        let is_drained = entry.leaving_since.is_some_and(|at| now.since(at) > drain);
-        !is_drained || entry.is_lapsed
+        let is_usable = !entry.is_drained(now, self.assignment_grace());
+        is_usable.then(|| entry.view())
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
@@ -304,6 +305,14 @@
 }
 
 impl Entry {
+    /// Whether it said that it leaves, and no request may be sent to it any more. The removal
+    /// of its registration does not change that.
+    fn is_drained(&self, now: Millis, assignment: Millis) -> bool {
+        let is_draining = self.registration.state == EndpointState::Draining;
+        let is_over = |at: Millis| now.since(at) > assignment;
+        is_draining && self.leaving_since.is_some_and(is_over)
+    }
+
     fn view(&self) -> EndpointView {
         EndpointView {
             registration: self.registration.clone(),
