--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -42,6 +42,8 @@
     holdings: Arc<Vec<Resident>>,
     /// When it started to drain or its registration was removed.
     leaving_since: Option<Millis>,
+    /// Whether it was seen before it started to drain. If not, that may have been any time ago.
+    was_open: bool,
     /// Whether the registration was removed.
     is_lapsed: bool,
 }
@@ -170,6 +172,7 @@
             holdings: Arc::new(registration.models.clone().unwrap_or_default()),
             announced: None,
             leaving_since: is_leaving.then_some(now),
+            was_open: !is_leaving,
             is_lapsed: false,
             registration: Arc::new(registration),
         };
@@ -186,6 +189,7 @@
             return Some(Change::Appeared(id));
         }
         let was_leaving = entry.leaving_since.is_some();
+        entry.was_open |= !is_leaving;
         entry.is_lapsed = false;
         entry.leaving_since = match is_leaving {
             true => entry.leaving_since.or(Some(now)),
@@ -309,7 +313,7 @@
     /// of its registration does not change that.
     fn is_drained(&self, now: Millis, assignment: Millis) -> bool {
         let is_draining = self.registration.state == EndpointState::Draining;
-        let is_over = |at: Millis| now.since(at) > assignment;
+        let is_over = |at: Millis| !self.was_open || now.since(at) > assignment;
         is_draining && self.leaving_since.is_some_and(is_over)
     }
 
--- a/tests/direct_departures.rs
+++ b/tests/direct_departures.rs
@@ -63,3 +63,22 @@
     directory.expire(Millis(2_050));
     assert!(directory.views(Millis(2_050)).is_empty());
 }
+
+// Guards against requests to an endpoint that said that it leaves, from a gateway that has
+// just started or dropped it: it may have said so any time ago.
+#[test]
+fn an_endpoint_that_is_first_seen_leaving_is_not_used() {
+    let mut directory = directory();
+    directory.replace(Millis(5_000), vec![draining()]);
+    assert!(directory.views(Millis(5_000)).is_empty());
+    directory.remove(Millis(6_000), "a");
+    assert!(directory.views(Millis(6_000)).is_empty());
+    assert_eq!(directory.expire(Millis(6_050)), [Change::Gone("a".into())]);
+    // An older copy of the store still lists it.
+    directory.store_restored(Millis(7_000));
+    directory.replace(Millis(7_000), vec![draining()]);
+    assert!(directory.views(Millis(7_000)).is_empty());
+    // It takes requests once it says so.
+    directory.put(Millis(8_000), registration("a", 1, &["m"]));
+    assert_eq!(directory.views(Millis(8_000)).len(), 1);
+}
