A refusal counts only for the request whose identifier it bears

Callers were told "not run, try again" for requests that an endpoint ran, or such a request ran at a second endpoint (REFUSED, TWICE), where a faulty endpoint wrote an earlier refusal once more on a kept connection.

Cause: a response was taken for a refusal before its identifier was looked at. Its statements (leaving, pause, limit) were taken over as well.

Change: the identifier is read before all else. A response without one belongs to the request only on a new connection, and no refusal is taken from it. One of another request leaves the outcome unknown, as before. The stand-in repeats the identifier in 421 too, as endpoints do.

Ruled out: a refusal repeated on the connection that carried it: a gateway closes that one.

--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -77,6 +77,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    is_reused: bool,
 }
 
 impl Drop for Connection {
@@ -111,7 +112,11 @@
                 log::debug!("connection to {address} failed: {error}");
             }
         });
-        Ok(Self { sender, task })
+        Ok(Self {
+            sender,
+            task,
+            is_reused: false,
+        })
     }
 
     /// A handle that closes the connection.
@@ -125,6 +130,11 @@
         self.sender.is_closed()
     }
 
+    /// Whether the connection has carried a request.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Waits until the connection takes a request.
     pub async fn ready(&mut self) -> Result<(), ExchangeError> {
         let ready = self.sender.ready().await;
@@ -137,6 +147,7 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         self.ready().await?;
+        self.is_reused = true;
         match self.sender.try_send_request(req).await {
             Ok(res) => Ok(res),
             Err(mut error) => {
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -208,6 +208,18 @@
     pub notice: Notice,
 }
 
+impl ResponseHead {
+    /// Whether the response belongs to the request with this identifier. Without an identifier,
+    /// it may be a late copy of an earlier response if the connection carried other requests,
+    /// and no refusal is taken from it.
+    pub fn is_response_to(&self, request_id: &str, is_reused: bool) -> bool {
+        match &self.request_id {
+            Some(id) => id == request_id,
+            None => !is_reused && !self.not_run && !self.is_misdirected,
+        }
+    }
+}
+
 /// Names, formats and calls of a platform.
 pub trait Dialect: Send + Sync + 'static {
     /// The store key of the operator's configuration.
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -46,6 +46,8 @@
     sent_at: Millis,
     in_flight: InFlight,
     connection: Connection,
+    /// Whether the connection carried another request before.
+    is_reused: bool,
     run: Option<WatchedRun>,
     /// Whether it asks for the rest of a stream.
     is_continuation: bool,
@@ -121,6 +123,7 @@
         let sent_at = self.shared.now();
         let req = job.request_for(&self.shared, &endpoint.id, last_event_id);
         let run = self.crash_watch.watch(job, &endpoint, turn);
+        let is_reused = connection.is_reused();
         match connection.send(req).await {
             Ok(res) => {
                 let sent = Sent {
@@ -128,6 +131,7 @@
                     sent_at,
                     in_flight,
                     connection,
+                    is_reused,
                     run,
                     is_continuation: last_event_id.is_some(),
                 };
@@ -191,6 +195,7 @@
             sent_at,
             in_flight,
             connection,
+            is_reused,
             mut run,
             is_continuation,
         } = sent;
@@ -199,6 +204,14 @@
             .shared
             .dialect
             .read_response_head(res.status(), res.headers());
+        // Before all else: neither a refusal nor a statement of another response counts.
+        if !head.is_response_to(&job.metadata.id, is_reused) {
+            job.log(
+                "request.crossed_answer",
+                &[("status", res.status().as_u16().into())],
+            );
+            return Attempt::Failed(Code::CrossedAnswer, None);
+        }
         self.shared.hear_endpoint(&endpoint, &head, sent_at);
         if head.is_misdirected || head.not_run {
             // The endpoint's load still counts this request.
@@ -209,14 +222,6 @@
             );
             return Attempt::NotRun(Code::Busy);
         }
-        if head
-            .request_id
-            .as_ref()
-            .is_some_and(|id| *id != job.metadata.id)
-        {
-            job.log("request.crossed_answer", &[]);
-            return Attempt::Failed(Code::CrossedAnswer, None);
-        }
         in_flight.update_endpoint(|e| {
             e.health.record_data(now, true);
             if res.status().is_server_error() {
--- a/standins/src/endpoint/answer.rs
+++ b/standins/src/endpoint/answer.rs
@@ -84,6 +84,8 @@
     pub pause_ms: u64,
     /// Bytes sent behind a complete answer with a length or chunks.
     pub leftover_bytes: usize,
+    /// What is sent before the answer, such as an earlier one once more.
+    pub stray: Option<String>,
 }
 
 impl Default for Answer {
@@ -99,6 +101,7 @@
             body_bytes: 24,
             pause_ms: 0,
             leftover_bytes: 0,
+            stray: None,
         }
     }
 }
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -173,7 +173,16 @@
         };
         if is_misdirected {
             self.set_answered(number, 421);
-            return self.write_json(421, &"another instance");
+            let refusal = Answer {
+                status: 421,
+                events: 0,
+                framing: Framing::Length,
+                ..Answer::default()
+            };
+            let head = self.head(req, &refusal, 0);
+            self.write(head.as_bytes())?;
+            self.write(&refusal.pieces("", 0).concat())?;
+            return Ok(Next::Keep);
         }
         let Some(_slot) = self.life.take_slot(lifecycle.slots) else {
             return Ok(Next::Close);
@@ -221,6 +230,9 @@
         let after = req.header("last-event-id").and_then(|id| id.parse().ok());
         let after = after.unwrap_or(0);
         let head = self.head(req, &answer, after);
+        if let Some(stray) = &answer.stray {
+            self.write(stray.as_bytes())?;
+        }
         if answer.place == Place::Head {
             self.write(&head.as_bytes()[..head.len() / 2])?;
             return self.end(&answer);
