Long texts are cut in log lines

Found with the odd entries: the reason why an entry of another writer is skipped quotes it, so that a line had 100,099 bytes, and one of a larger value dropped all others of two seconds.

Change: a text in a line has 2 KB at most.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -15,6 +15,9 @@
 /// Maximum bytes waiting to be written: about two seconds of lines at
 /// `REQUEST_LINES_PER_S`.
 const BUFFER_BYTES: usize = 256 << 10;
+/// The most bytes of a text in a line. Texts of others, such as a value in the store that cannot
+/// be read, may be as long as the buffer.
+const MAX_TEXT_BYTES: usize = 2 << 10;
 /// Time between two writes. A killed process loses the lines since the last one.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a process that ends waits for its last lines to be written.
@@ -146,6 +149,20 @@
 
 /// Appends one line with the event's name and its fields to the buffer.
 pub fn write(event: &str, fields: &[(&str, Value<'_>)]) {
+    let line = format_line(event, fields);
+    let mut buf = match BUFFER.lock() {
+        Ok(buf) => buf,
+        Err(poisoned) => poisoned.into_inner(),
+    };
+    if buf.len() + line.len() > BUFFER_BYTES {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    buf.extend_from_slice(line.as_bytes());
+}
+
+/// The line with an event's name and its fields, in which long texts are cut.
+pub fn format_line(event: &str, fields: &[(&str, Value<'_>)]) -> String {
     let mut line = String::with_capacity(128);
     let _ = write!(line, "{{\"t\":{},\"event\":\"{event}\"", unix_now().0);
     for (name, value) in fields {
@@ -158,19 +175,12 @@
         };
     }
     line.push_str("}\n");
-    let mut buf = match BUFFER.lock() {
-        Ok(buf) => buf,
-        Err(poisoned) => poisoned.into_inner(),
-    };
-    if buf.len() + line.len() > BUFFER_BYTES {
-        DROPPED.fetch_add(1, Ordering::Relaxed);
-        return;
-    }
-    buf.extend_from_slice(line.as_bytes());
+    line
 }
 
 fn write_text(line: &mut String, text: &str) -> std::fmt::Result {
-    let quoted = serde_json::to_string(text).map_err(|_| std::fmt::Error)?;
+    let shown = &text[..text.floor_char_boundary(MAX_TEXT_BYTES)];
+    let quoted = serde_json::to_string(shown).map_err(|_| std::fmt::Error)?;
     line.push_str(&quoted);
     Ok(())
 }
