The software versions of the services are recorded in the store

Cause: a gateway that has just started took the registered versions for all that there were, and let a stream of unknown origin go on at the only one. The version that began it had left.

A gateway lets a stream of unknown origin go on at the only version only if it has read that record, or has watched the endpoints for as long itself. Cost: one write when a version comes or goes, at any fleet size, and one more row of a list that every gateway reads at its start.

The writing of records moved from background_calls.rs to background_calls/records.rs.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -59,6 +59,7 @@
 mod supervision;
 pub mod suspects;
 pub mod sync;
+pub mod version_record;
 pub mod view;
 pub mod workload;
 
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -1,5 +1,7 @@
 //! Calls of the control thread to the store, the engines and the other gateways.
 
+mod records;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,7 +13,6 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use super::block_record;
 use super::connection::{CALL_LIMITS, CallClient, ExchangeError, call, call_endpoint};
 use super::control::Event;
 use super::dialect::{Call, Lease, ModelOrder, Registration, StoreError, Transaction};
@@ -23,9 +24,8 @@
 use super::shared::Shared;
 use super::store::Store;
 use super::supervision::Supervisor;
-use super::suspects::Block;
-use super::sync::{BLOCKS_KEY, LEADER_KEY, MEMBER_PREFIX, SECRET_KEY, decode_blocks};
-use crate::clock::{Millis, unix_now};
+use super::sync::{LEADER_KEY, MEMBER_PREFIX, SECRET_KEY};
+use crate::clock::Millis;
 use crate::journal;
 
 /// Delay before a failed call to the store is retried.
@@ -243,41 +243,6 @@
         }
     }
 
-    /// Writes the record of blocks, if its revision is the expected one, and otherwise
-    /// reads it.
-    pub async fn record_blocks(self: Rc<Self>, expected: u64, blocks: Vec<Block>) {
-        let event = match self.write_or_read_blocks(expected, blocks).await {
-            Ok(event) => event,
-            Err(error) => {
-                log_store_failure("blocks", &error);
-                Event::RecordFailed
-            }
-        };
-        self.send_event(event);
-    }
-
-    async fn write_or_read_blocks(
-        &self,
-        expected: u64,
-        blocks: Vec<Block>,
-    ) -> Result<Event, StoreError> {
-        let value = block_record::encode(unix_now(), &blocks)
-            .map_err(|e| StoreError::Malformed(format_compact!("{e}")))?;
-        let transaction = Transaction {
-            expected: vec![(BLOCKS_KEY.into(), expected)],
-            puts: vec![(BLOCKS_KEY.into(), value, 0)],
-        };
-        match self.store.commit(&transaction).await {
-            Ok(revision) => Ok(Event::BlocksRecorded { revision, blocks }),
-            Err(StoreError::Conflict) => match self.store.read_key(BLOCKS_KEY).await {
-                Ok(item) => Ok(decode_blocks(Some(&item))),
-                Err(StoreError::NotFound) => Ok(decode_blocks(None)),
-                Err(error) => Err(error),
-            },
-            Err(error) => Err(error),
-        }
-    }
-
     /// Sends an order to an engine and passes the outcome to the reducer. An order that
     /// the engine takes none of now stays unanswered, and comes again.
     pub async fn send_order(self: Rc<Self>, endpoint: CompactString, order: ModelOrder) {
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -13,6 +13,7 @@
 mod parts;
 mod relayed;
 mod streams;
+mod versions;
 
 use std::sync::Arc;
 
@@ -31,7 +32,6 @@
 use super::registry::{Registry, RegistryChange};
 use super::settings::{Bounds, Settings};
 use super::shares::Shares;
-use super::streams::VersionHistory;
 use super::view::{EndpointView, LoadTable, View};
 use crate::clock::Millis;
 use crate::journal;
@@ -44,6 +44,7 @@
 use notices::NoticeOutbox;
 use parts::Parts;
 pub use relayed::Pauses;
+use versions::Versions;
 
 /// Interval between load reports in a fleet of up to [`STATUS_BASE_GATEWAYS`].
 const STATUS_INTERVAL: Millis = Millis(100);
@@ -90,7 +91,7 @@
     is_draining: bool,
     generation: u64,
     published_endpoints: Vec<EndpointView>,
-    versions: VersionHistory,
+    versions: Versions,
     behind_since: Option<Millis>,
     /// Number of peers asked for their configuration so far; rotates the peers.
     asked_peers: usize,
@@ -147,7 +148,7 @@
             is_draining: false,
             generation: 0,
             published_endpoints: Vec::new(),
-            versions: VersionHistory::default(),
+            versions: Versions::default(),
             behind_since: None,
             asked_peers: 0,
             decisions: Decisions::default(),
@@ -200,16 +201,16 @@
         // An endpoint that is gone now was there until now.
         let seen = self.published_endpoints.iter().chain(&endpoints);
         for registration in seen.map(|e| &e.registration) {
-            self.versions
-                .note(now, &registration.service, &registration.version);
+            let history = &mut self.versions.history;
+            history.note(now, &registration.service, &registration.version);
         }
-        self.versions.expire(now);
+        self.versions.history.expire(now);
         self.published_endpoints = endpoints;
         View {
             generation: self.generation,
             document: self.document.clone(),
             endpoints: self.published_endpoints.clone(),
-            versions: Arc::new(self.versions.clone()),
+            versions: Arc::new(self.versions.history.clone()),
         }
     }
 
@@ -271,6 +272,10 @@
                 self.blocks_recorded(now, revision, blocks)
             }
             Event::RecordFailed => self.record_failed(now),
+            Event::VersionsRecorded { revision, versions } => {
+                self.versions_recorded(now, revision, &versions, &mut out)
+            }
+            Event::VersionRecordFailed => self.version_record_failed(now),
             Event::OrderAnswered {
                 endpoint,
                 order,
@@ -340,6 +345,7 @@
         self.campaign(now, out);
         self.repeat_needs(now, out);
         self.tick_parts(now, out);
+        self.record_versions(now, out);
         out.push(Effect::AnnounceStreams);
         self.schedule_due_decision(now, out);
     }
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -21,6 +21,7 @@
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{StreamId, StreamRecord};
 use crate::direct::suspects::{Block, BlockState, CrashReport, PartId, PartProgress, Snapshot};
+use crate::direct::version_record::RecordedVersion;
 use crate::direct::view::LoadTable;
 
 /// The content of the leader key in the store.
@@ -132,6 +133,15 @@
     },
     /// The record of blocks could not be written.
     RecordFailed,
+    /// The record of software versions in the store was read or written, or has changed.
+    VersionsRecorded {
+        /// Its revision; 0 if it does not exist.
+        revision: u64,
+        /// The versions with their ages.
+        versions: Vec<RecordedVersion>,
+    },
+    /// The record of software versions could not be written.
+    VersionRecordFailed,
     /// A request needs more tokens of a limit than this gateway has.
     TokensNeeded {
         /// The workspace.
@@ -194,6 +204,7 @@
             Self::PartsChecked(_) => "parts_checked",
             Self::BlockOrdered { .. } => "block_ordered",
             Self::BlocksRecorded { .. } | Self::RecordFailed => "blocks_recorded",
+            Self::VersionsRecorded { .. } | Self::VersionRecordFailed => "versions_recorded",
             Self::TokensNeeded { .. } => "tokens_needed",
             Self::OrderAnswered { .. } => "order_answered",
             Self::Reported { .. } => "reported",
@@ -279,6 +290,13 @@
         /// The blocks with their ages.
         blocks: Vec<Block>,
     },
+    /// Write the record of software versions to the store.
+    RecordVersions {
+        /// The revision that it must have; 0 if it must not exist.
+        expected: u64,
+        /// The versions with their ages.
+        versions: Vec<RecordedVersion>,
+    },
     /// Fetch the configuration from a gateway if it has a newer one than this one.
     PullConfiguration(SocketAddr),
     /// Try to claim the leader key.
--- /dev/null
+++ b/src/direct/control/versions.rs
@@ -0,0 +1,155 @@
+//! Which software versions the services have, and which of them are recorded in the store.
+
+use compact_str::CompactString;
+
+use super::{Control, Effect};
+use crate::clock::Millis;
+use crate::direct::streams::{RECORD_LIFETIME, VersionHistory};
+use crate::direct::version_record::RecordedVersion;
+
+/// How long a gateway waits for the leader to record a change, and the additional wait for
+/// each gateway that ranks earlier.
+const TAKEOVER_DELAY: Millis = Millis(1_000);
+const TAKEOVER_DELAY_PER_RANK: Millis = Millis(250);
+/// Delay after a failed attempt.
+const RETRY_DELAY: Millis = Millis(1_000);
+
+/// The software versions of the services.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Versions {
+    /// Those of which streams may be left.
+    pub history: VersionHistory,
+    /// The revision of the record and its rows; `None` until it has been read.
+    recorded: Option<(u64, Vec<Row>)>,
+    /// Since when the record differs from what is registered.
+    differs_since: Option<Millis>,
+    is_writing: bool,
+    next_attempt: Millis,
+}
+
+/// A version in the record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Row {
+    service: CompactString,
+    version: CompactString,
+    /// When its last endpoint went.
+    left_at: Option<Millis>,
+}
+
+impl Row {
+    fn key(&self) -> (&str, &str) {
+        (&self.service, &self.version)
+    }
+}
+
+/// Whether two sorted lists name the same versions as registered and as left.
+fn agree(a: &[Row], b: &[Row]) -> bool {
+    let facts = |row: &Row| {
+        (
+            row.service.clone(),
+            row.version.clone(),
+            row.left_at.is_some(),
+        )
+    };
+    a.iter().map(facts).eq(b.iter().map(facts))
+}
+
+impl Control {
+    /// The record was read or written, or has changed.
+    pub(super) fn versions_recorded(
+        &mut self,
+        now: Millis,
+        revision: u64,
+        recorded: &[RecordedVersion],
+        out: &mut Vec<Effect>,
+    ) {
+        let row = |v: &RecordedVersion| Row {
+            service: v.service.clone(),
+            version: v.version.clone(),
+            left_at: v.left.map(|age| now - age),
+        };
+        let mut rows: Vec<Row> = recorded.iter().map(row).collect();
+        rows.sort_by(|a, b| a.key().cmp(&b.key()));
+        let seen = rows.iter().map(|row| {
+            let (service, version) = row.key();
+            (service, version, row.left_at.unwrap_or(now))
+        });
+        self.versions.history.note_record(seen);
+        self.versions.history.expire(now);
+        self.versions.is_writing = false;
+        // A slow response may be older than what is known. Then the next write fails and
+        // leads to another reading.
+        self.versions.recorded = Some((revision, rows));
+        out.push(Effect::Publish);
+    }
+
+    /// The record could not be written.
+    pub(super) fn version_record_failed(&mut self, now: Millis) {
+        self.versions.is_writing = false;
+        self.versions.next_attempt = now + RETRY_DELAY;
+    }
+
+    /// Writes the record if it differs from what is registered: the leader at once, others
+    /// if nobody else does.
+    pub(super) fn record_versions(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let state = &self.versions;
+        let Some((expected, recorded)) = &state.recorded else {
+            return;
+        };
+        // Right after the start, no endpoint is known yet.
+        if self.is_store_lost || state.is_writing || self.directory.is_empty() {
+            return;
+        }
+        let (expected, rows) = (*expected, self.current_versions(now, recorded));
+        if agree(&rows, recorded) {
+            self.versions.differs_since = None;
+            return;
+        }
+        let wait = match self.leader_term(now) {
+            Some(_) => Millis::ZERO,
+            None => TAKEOVER_DELAY + Millis(TAKEOVER_DELAY_PER_RANK.0 * self.members.rank() as u64),
+        };
+        let state = &mut self.versions;
+        let since = *state.differs_since.get_or_insert(now);
+        if now.since(since) < wait || now < state.next_attempt {
+            return;
+        }
+        state.is_writing = true;
+        let versions = rows.into_iter().map(|row| RecordedVersion {
+            service: row.service,
+            version: row.version,
+            left: row.left_at.map(|at| now.since(at)),
+        });
+        out.push(Effect::RecordVersions {
+            expected,
+            versions: versions.collect(),
+        });
+    }
+
+    /// The versions that are registered, and those that left so lately that streams may be
+    /// left of them, sorted.
+    fn current_versions(&self, now: Millis, recorded: &[Row]) -> Vec<Row> {
+        let registered = self.directory.registrations().map(|r| Row {
+            service: r.service.clone(),
+            version: r.version.clone(),
+            left_at: None,
+        });
+        let mut rows: Vec<Row> = registered.collect();
+        rows.sort_by(|a, b| a.key().cmp(&b.key()));
+        rows.dedup();
+        for row in recorded {
+            let left_at = row.left_at.unwrap_or(now);
+            let at = rows.binary_search_by(|known| known.key().cmp(&row.key()));
+            if let Err(at) = at
+                && now.since(left_at) < RECORD_LIFETIME
+            {
+                let left = Row {
+                    left_at: Some(left_at),
+                    ..row.clone()
+                };
+                rows.insert(at, left);
+            }
+        }
+        rows
+    }
+}
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -110,6 +110,11 @@
         self.entries.is_empty()
     }
 
+    /// All registrations, also of endpoints that are leaving.
+    pub fn registrations(&self) -> impl Iterator<Item = &Registration> {
+        self.entries.iter().map(|e| &*e.registration)
+    }
+
     /// Records that the store is unreachable. Endpoints whose registrations lapse in
     /// the meantime are kept, since they cannot renew them.
     pub fn store_lost(&mut self) {
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -166,6 +166,9 @@
             Effect::RecordBlocks { expected, blocks } => {
                 spawn_local(calls.clone().record_blocks(expected, blocks));
             }
+            Effect::RecordVersions { expected, versions } => {
+                spawn_local(calls.clone().record_versions(expected, versions));
+            }
             Effect::ClaimLeadership {
                 expected,
                 is_succession,
--- a/src/direct/origin.rs
+++ b/src/direct/origin.rs
@@ -61,20 +61,14 @@
     if let Some(version) = id.and_then(|id| shared.streams.version_of(id)) {
         return Some((version, "record"));
     }
-    let only_version = || {
-        let versions = shared.view().versions.clone();
-        versions.only_version(&job.service).cloned()
-    };
-    let is_history_complete = shared.view().versions.is_complete(shared.now());
-    if let Some(version) = only_version().filter(|_| is_history_complete) {
-        return Some((version, "only"));
-    }
-    if let Some(id) = id.filter(|_| shared.gateway_count() > 1)
-        && let Some(version) = ask_peers(shared, id).await
-    {
-        return Some((version, "peer"));
+    let versions = shared.view().versions.clone();
+    let is_complete = versions.is_complete(shared.now());
+    if let Some(version) = versions.only_version(&job.service).filter(|_| is_complete) {
+        return Some((version.clone(), "only"));
     }
-    only_version().map(|version| (version, "only"))
+    let id = id.filter(|_| shared.gateway_count() > 1)?;
+    let version = ask_peers(shared, id).await?;
+    Some((version, "peer"))
 }
 
 async fn ask_peers(shared: &Shared, id: StreamId) -> Option<CompactString> {
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -65,7 +65,9 @@
         | Event::PartsProgressed(_)
         | Event::PartsChecked(_)
         | Event::BlocksRecorded { .. }
-        | Event::RecordFailed => Lane::Endpoints,
+        | Event::RecordFailed
+        | Event::VersionsRecorded { .. }
+        | Event::VersionRecordFailed => Lane::Endpoints,
         Event::Datagram(datagram) if datagram.message.is_urgent() => Lane::Endpoints,
         Event::Tick(_)
         | Event::Usage(_)
--- a/src/direct/streams.rs
+++ b/src/direct/streams.rs
@@ -194,19 +194,32 @@
     seen: Vec<(CompactString, CompactString, Millis)>,
     /// When the first version was recorded.
     since: Option<Millis>,
+    /// Whether the record in the store has been read.
+    is_record_read: bool,
 }
 
 impl VersionHistory {
     /// Records that an endpoint of a service has a version.
     pub fn note(&mut self, now: Millis, service: &str, version: &str) {
         self.since.get_or_insert(now);
+        self.see(now, service, version);
+    }
+
+    /// Records the versions that services had by the record in the store, with the times at
+    /// which endpoints of them were last registered.
+    pub fn note_record<'a>(&mut self, rows: impl Iterator<Item = (&'a str, &'a str, Millis)>) {
+        self.is_record_read = true;
+        rows.for_each(|(service, version, at)| self.see(at, service, version));
+    }
+
+    fn see(&mut self, at: Millis, service: &str, version: &str) {
         let key = (service, version);
         let found = self
             .seen
             .binary_search_by(|(s, v, _)| (s.as_str(), v.as_str()).cmp(&key));
         match found {
-            Ok(at) => self.seen[at].2 = now,
-            Err(at) => self.seen.insert(at, (service.into(), version.into(), now)),
+            Ok(known) => self.seen[known].2 = self.seen[known].2.max(at),
+            Err(new) => self.seen.insert(new, (service.into(), version.into(), at)),
         }
     }
 
@@ -216,10 +229,11 @@
             .retain(|(_, _, at)| now.since(*at) < RECORD_LIFETIME);
     }
 
-    /// Whether the history reaches back to the beginning of all streams.
+    /// Whether the history reaches back to the beginning of all streams. The record in the
+    /// store does.
     pub fn is_complete(&self, now: Millis) -> bool {
-        self.since
-            .is_some_and(|since| now.since(since) >= RECORD_LIFETIME)
+        let has_watched = |since| now.since(since) >= RECORD_LIFETIME;
+        self.is_record_read || self.since.is_some_and(has_watched)
     }
 
     /// The version of a service, if its endpoints had no other one lately.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -7,12 +7,12 @@
 use compact_str::CompactString;
 use tokio::time::{sleep, timeout};
 
-use super::block_record;
 use super::control::{Event, LeaderRecord, Pauses};
 use super::dialect::{Item, Page, StoreError};
 use super::members::Member;
 use super::queue::EventSender;
 use super::store::Store;
+use super::{block_record, version_record};
 use crate::clock::{Clock, Millis, unix_now};
 use crate::journal;
 
@@ -217,6 +217,8 @@
 
 /// The key that holds the blocked parts.
 pub const BLOCKS_KEY: &str = "rattanstall/blocks";
+/// The key that holds the software versions of the services.
+pub const VERSIONS_KEY: &str = "rattanstall/versions";
 
 /// The record of blocked parts; without an item, it does not exist.
 pub fn decode_blocks(item: Option<&Item>) -> Event {
@@ -232,7 +234,22 @@
     }
 }
 
-/// Follows the gateway registrations, the leader key and the blocked parts.
+/// The record of software versions; without an item, it does not exist.
+pub fn decode_versions(item: Option<&Item>) -> Event {
+    let value = item.and_then(|item| item.value.as_ref());
+    let versions = value.map(|value| version_record::decode(unix_now(), value));
+    let versions = versions.unwrap_or_else(|| Ok(Vec::new()));
+    Event::VersionsRecorded {
+        revision: item.map_or(0, |i| if i.value.is_some() { i.revision } else { 0 }),
+        versions: versions.unwrap_or_else(|error| {
+            log_skipped(VERSIONS_KEY, &error.to_string());
+            Vec::new()
+        }),
+    }
+}
+
+/// Follows the gateway registrations, the leader key, and the records of blocked parts and of
+/// software versions.
 pub struct FleetFollower;
 
 impl FleetFollower {
@@ -274,6 +291,7 @@
             Event::Members(members),
             Event::LeaderKey(leader.and_then(Self::decode_leader)),
             decode_blocks(page.items.iter().find(|item| item.key == BLOCKS_KEY)),
+            decode_versions(page.items.iter().find(|item| item.key == VERSIONS_KEY)),
         ]
     }
 
@@ -284,6 +302,9 @@
         if item.key == BLOCKS_KEY {
             return Some(decode_blocks(Some(&item)));
         }
+        if item.key == VERSIONS_KEY {
+            return Some(decode_versions(Some(&item)));
+        }
         let name = item.key.strip_prefix(MEMBER_PREFIX)?;
         match item.value {
             Some(_) => Self::decode_member(&item).map(Event::MemberPut),
