--- a/src/direct/control/grants.rs
+++ b/src/direct/control/grants.rs
@@ -15,7 +15,7 @@
     /// Handles requests of this gateway that wait for grants.
     pub(super) fn grants_wanted(&mut self, now: Millis, asked: Question, out: &mut Vec<Effect>) {
         let (run, named, wanted) = asked;
-        match self.members.owner_of(now, run, self.is_draining) {
+        match self.members.owner_of(now, run.0, self.is_draining) {
             Owner::Own if self.is_cut_off(now) => {}
             Owner::Own => {
                 let grant = self.rate_owner.grant(now, run, named, wanted);
@@ -44,7 +44,7 @@
         out: &mut Vec<Effect>,
     ) {
         let (run, named, wanted) = asked;
-        let is_owner = self.members.owner_of(now, run, self.is_draining) == Owner::Own;
+        let is_owner = self.members.owner_of(now, run.0, self.is_draining) == Owner::Own;
         if !is_owner || self.is_cut_off(now) {
             return;
         }
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -8,7 +8,6 @@
 use super::balance::rendezvous_weight;
 use super::fan_out::{group_count, group_of};
 use super::gossip::{Datagram, Message, ModelUsage, WorkspaceUsage};
-use super::notices::RunId;
 use super::shares::MemberUsage;
 use super::streams::{RECORD_COPIES, StreamId};
 use super::view::LoadTable;
@@ -34,7 +33,8 @@
     pub boot: u64,
 }
 
-/// The gateway that grants requests to an endpoint with a limited rate.
+/// The gateway that owns something: that grants requests to an endpoint with a limited rate, or
+/// writes records of streams to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Owner {
     /// This gateway.
@@ -161,10 +161,10 @@
         ahead.take(sponsors).count() < sponsors
     }
 
-    /// The owner of an endpoint's rate, among the gateways that stay and are heard. This
-    /// gateway says whether it is stopping itself.
-    pub fn owner_of(&self, now: Millis, run: RunId, is_draining: bool) -> Owner {
-        let weight = |name: &str| rendezvous_weight(run.0, name);
+    /// The owner of what a key stands for, such as an endpoint's rate, among the gateways that
+    /// stay and are heard. This gateway says whether it is stopping itself.
+    pub fn owner_of(&self, now: Millis, key: u64, is_draining: bool) -> Owner {
+        let weight = |name: &str| rendezvous_weight(key, name);
         let best = self.staying(now).max_by_key(|p| weight(&p.member.name));
         match best {
             Some(best) if is_draining || weight(&best.member.name) > weight(&self.own_name) => {
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -25,6 +25,8 @@
     pub metrics: Option<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// Writing calls that the store takes from all gateways together, in a second.
+    pub store_writes_per_s: u32,
     /// Bounds that the operator sets. Those of a running process may differ; see
     /// [`LiveSettings`](super::reload::LiveSettings).
     pub bounds: Bounds,
--- a/standins/src/bin/rattanstall-experiment/leader.rs
+++ b/standins/src/bin/rattanstall-experiment/leader.rs
@@ -218,6 +218,7 @@
         internal: address,
         metrics: None,
         store: address,
+        store_writes_per_s: 400,
         bounds: Bounds {
             lease: Millis(3_000),
             succession: Millis(500),
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -39,6 +39,7 @@
         internal: address,
         metrics: None,
         store: address,
+        store_writes_per_s: 400,
         bounds: Bounds {
             lease: Millis(3_000),
             succession: Millis(500),
