Records of streams are kept in the store while a service has several versions

Cause: which version began a stream was known in the memory of four gateways only. What has to outlive every gateway must be derivable from what survives.

Change: the records are divided among 16 keys of the store by the streams' identifiers. Each key has one gateway that writes it, chosen as for limited rates; it is told of new streams beside the three that keep records, twice, and writes what is younger than twice the longest timeout of resumable routes. It writes only while streams of several versions may be left, at most as often as a quarter of the store's writing calls allow and 64 KB a second for each key.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -55,6 +55,7 @@
 pub mod shared;
 pub mod shares;
 pub mod store;
+pub mod stream_records;
 pub mod streams;
 mod supervision;
 pub mod suspects;
--- a/src/direct/background_calls/records.rs
+++ b/src/direct/background_calls/records.rs
@@ -10,10 +10,12 @@
 use crate::clock::unix_now;
 use crate::direct::control::Event;
 use crate::direct::dialect::{Item, StoreError, Transaction};
+use crate::direct::stream_records::bucket_key;
+use crate::direct::streams::AgedRecord;
 use crate::direct::suspects::Block;
-use crate::direct::sync::{BLOCKS_KEY, VERSIONS_KEY, decode_blocks, decode_versions};
+use crate::direct::sync::{BLOCKS_KEY, VERSIONS_KEY, decode_blocks, decode_versions, log_skipped};
 use crate::direct::version_record::RecordedVersion;
-use crate::direct::{block_record, version_record};
+use crate::direct::{block_record, stream_records, version_record};
 
 impl BackgroundCalls {
     /// Writes the record of blocks, if its revision is the expected one, and otherwise
@@ -45,6 +47,37 @@
         });
     }
 
+    /// Reads a bucket of stream records.
+    pub async fn read_streams(self: Rc<Self>, bucket: u8) {
+        let item = match self.store.read_key(&bucket_key(bucket)).await {
+            Ok(item) => Ok(Some(item)),
+            Err(StoreError::NotFound) => Ok(None),
+            Err(error) => Err(error),
+        };
+        self.send_event(match item {
+            Ok(item) => streams_read(bucket, item.as_ref()),
+            Err(error) => stream_storage_failed(bucket, &error),
+        });
+    }
+
+    /// Writes a bucket of stream records, if its revision is the expected one, and otherwise
+    /// reads it.
+    pub async fn store_streams(self: Rc<Self>, bucket: u8, expected: u64, all: Vec<AgedRecord>) {
+        let value = stream_records::encode(unix_now(), &all);
+        let value = value.map_err(|e| StoreError::Malformed(format_compact!("{e}")));
+        let bytes = value.as_ref().map_or(0, Bytes::len);
+        let key = bucket_key(bucket);
+        self.send_event(match self.write_or_read(&key, expected, value).await {
+            Ok(Written::At(revision)) => Event::StreamsStored {
+                bucket,
+                revision,
+                bytes,
+            },
+            Ok(Written::Not(item)) => streams_read(bucket, item.as_ref()),
+            Err(error) => stream_storage_failed(bucket, &error),
+        });
+    }
+
     async fn write_or_read(
         &self,
         key: &str,
@@ -75,6 +108,25 @@
     Not(Option<Item>),
 }
 
+fn streams_read(bucket: u8, item: Option<&Item>) -> Event {
+    let value = item.and_then(|item| item.value.as_ref());
+    let records = value.map(|value| stream_records::decode(unix_now(), value));
+    let records = records.unwrap_or_else(|| Ok(Vec::new()));
+    Event::StreamsRead {
+        bucket,
+        revision: item.map_or(0, |item| item.revision),
+        records: records.unwrap_or_else(|error| {
+            log_skipped(&bucket_key(bucket), &error.to_string());
+            Vec::new()
+        }),
+    }
+}
+
+fn stream_storage_failed(bucket: u8, error: &StoreError) -> Event {
+    log_store_failure("streams", error);
+    Event::StreamStorageFailed(bucket)
+}
+
 fn malformed(error: serde_json::Error) -> StoreError {
     StoreError::Malformed(format_compact!("{error}"))
 }
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -44,6 +44,7 @@
 use notices::NoticeOutbox;
 use parts::Parts;
 pub use relayed::Pauses;
+use streams::StreamStorage;
 use versions::Versions;
 
 /// Interval between load reports in a fleet of up to [`STATUS_BASE_GATEWAYS`].
@@ -92,6 +93,7 @@
     generation: u64,
     published_endpoints: Vec<EndpointView>,
     versions: Versions,
+    stream_storage: StreamStorage,
     behind_since: Option<Millis>,
     /// Number of peers asked for their configuration so far; rotates the peers.
     asked_peers: usize,
@@ -149,6 +151,7 @@
             generation: 0,
             published_endpoints: Vec::new(),
             versions: Versions::default(),
+            stream_storage: StreamStorage::default(),
             behind_since: None,
             asked_peers: 0,
             decisions: Decisions::default(),
@@ -258,7 +261,18 @@
                 }
             }
             Event::ModelWanted(need) => self.model_wanted(now, need, &mut out),
-            Event::StreamSought(id) => self.seek_stream(id, &mut out),
+            Event::StreamSought { id, turn } => self.seek_stream(now, id, turn, &mut out),
+            Event::StreamsRead {
+                bucket,
+                revision,
+                records,
+            } => self.streams_read(now, bucket, revision, records, &mut out),
+            Event::StreamsStored {
+                bucket,
+                revision,
+                bytes,
+            } => self.streams_stored(now, bucket, revision, bytes),
+            Event::StreamStorageFailed(bucket) => self.stream_storage_failed(now, bucket),
             Event::EndpointSaidLeaving(run) => self.endpoint_said_leaving(now, run, &mut out),
             Event::LimitChanged(news) => self.limit_changed(news, &mut out),
             Event::GrantsWanted { run, named, wanted } => {
@@ -346,6 +360,7 @@
         self.repeat_needs(now, out);
         self.tick_parts(now, out);
         self.record_versions(now, out);
+        self.store_streams(now, out);
         out.push(Effect::AnnounceStreams);
         self.schedule_due_decision(now, out);
     }
@@ -361,6 +376,7 @@
             };
             journal::write(event, &[("endpoint", id.into())]);
         }
+        self.versions.note_change();
         out.push(Effect::Publish);
     }
 
@@ -411,10 +427,7 @@
                 self.need_reported(now, Need::new(service, wanted), out);
             }
             Message::WantedAtVersion(need) => self.need_reported(now, need, out),
-            Message::StreamSought(id) => {
-                let to = self.members.address_of(from);
-                out.extend(to.map(|to| Effect::TellStream { to, id }));
-            }
+            Message::StreamSought(id) => self.stream_sought(now, from, id, out),
             Message::Streams(records) => out.push(Effect::LearnStreams(records)),
             Message::Crashes(reports) => self.crashes_told(now, from, reports, out),
             Message::PartProgress(told) => self.progress_told(now, told),
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -19,7 +19,7 @@
 use crate::direct::rate_owner::NamedRate;
 use crate::direct::settings::Bounds;
 use crate::direct::shared::ModelDemand;
-use crate::direct::streams::{StreamId, StreamRecord};
+use crate::direct::streams::{AgedRecord, StreamId, StreamRecord};
 use crate::direct::suspects::{Block, BlockState, CrashReport, PartId, PartProgress, Snapshot};
 use crate::direct::version_record::RecordedVersion;
 use crate::direct::view::LoadTable;
@@ -97,7 +97,32 @@
     /// A request waits for a model or adapter that no endpoint holds.
     ModelWanted(Need),
     /// A request goes on with a stream of which no record is known here.
-    StreamSought(StreamId),
+    StreamSought {
+        /// The stream.
+        id: StreamId,
+        /// How often the request asked before.
+        turn: u32,
+    },
+    /// A bucket of stream records was read from the store.
+    StreamsRead {
+        /// The bucket.
+        bucket: u8,
+        /// The revision of its key; 0 if it does not exist.
+        revision: u64,
+        /// The records.
+        records: Vec<AgedRecord>,
+    },
+    /// A bucket of stream records was written to the store.
+    StreamsStored {
+        /// The bucket.
+        bucket: u8,
+        /// The revision of its key.
+        revision: u64,
+        /// The size of its value.
+        bytes: usize,
+    },
+    /// A call of the store for a bucket of stream records failed.
+    StreamStorageFailed(u8),
     /// An endpoint said something new of the rate that it takes.
     LimitChanged(LimitNews),
     /// Requests wait for grants of an endpoint's rate.
@@ -195,7 +220,10 @@
             Self::LeaseHeld(_) | Self::LeaseLost => "lease",
             Self::Datagram(datagram) => datagram.message.name(),
             Self::ModelWanted(_) => "model_wanted",
-            Self::StreamSought(_) => "stream_sought",
+            Self::StreamSought { .. } => "stream_sought",
+            Self::StreamsRead { .. }
+            | Self::StreamsStored { .. }
+            | Self::StreamStorageFailed(_) => "streams_stored",
             Self::EndpointCrashed(_) => "endpoint_crashed",
             Self::EndpointSaidLeaving(_) => "endpoint_said_leaving",
             Self::LimitChanged(_) => "limit_changed",
@@ -269,6 +297,19 @@
     },
     /// Take over records of streams from another gateway.
     LearnStreams(Vec<StreamRecord>),
+    /// Take over records of streams from the store.
+    LearnStoredStreams(Vec<AgedRecord>),
+    /// Read a bucket of stream records from the store.
+    ReadStreams(u8),
+    /// Write a bucket of stream records to the store.
+    StoreStreams {
+        /// The bucket.
+        bucket: u8,
+        /// The revision that its key must have; 0 if it must not exist.
+        expected: u64,
+        /// The age of the oldest records that are written.
+        max_age: Millis,
+    },
     /// Publish the parts that are blocked or watched to the traffic threads.
     PublishParts(PartLists),
     /// Show operators what is known of parts.
--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -1,13 +1,194 @@
-//! Which gateways are asked for the software version that began a stream.
+//! Which gateways are asked for the software version that began a stream, and what the store
+//! keeps of these versions.
 
 use super::{Control, Effect};
+use crate::clock::Millis;
 use crate::direct::gossip::Message;
-use crate::direct::streams::StreamId;
+use crate::direct::members::Owner;
+use crate::direct::streams::{AgedRecord, STREAM_BUCKETS, StreamId};
+
+/// The records take the store's writing calls divided by this, at most.
+const WRITES_DIVISOR: u64 = 4;
+/// Shortest interval between two writes of a bucket.
+const MIN_WRITE_INTERVAL: Millis = Millis(100);
+/// The most bytes of a bucket that are written in a second.
+const BYTES_PER_S: u64 = 64 << 10;
+/// Delay after a failed call.
+const RETRY_DELAY: Millis = Millis(500);
+/// From this question on, a gateway reads the store itself: the owner of the bucket doesn't
+/// know the stream, or is away.
+const OWN_READ_TURN: u32 = 2;
+/// How long a bucket that another gateway writes is not read again.
+const REREAD_INTERVAL: Millis = Millis(200);
+
+/// What this gateway knows of one bucket in the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    /// The revision of its key; `None` until it has been read.
+    revision: Option<u64>,
+    read_at: Millis,
+    /// Whether this gateway writes it.
+    is_owner: bool,
+    /// Whether records have come that are not written.
+    has_changed: bool,
+    /// Whether a call is under way.
+    is_busy: bool,
+    next_write: Millis,
+}
+
+/// What this gateway knows of the records in the store.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StreamStorage {
+    buckets: [Bucket; STREAM_BUCKETS as usize],
+}
+
+impl StreamStorage {
+    fn bucket(&mut self, bucket: u8) -> &mut Bucket {
+        &mut self.buckets[usize::from(bucket % STREAM_BUCKETS)]
+    }
+}
 
 impl Control {
-    /// Asks the gateways that keep the record of a stream.
-    pub(super) fn seek_stream(&self, id: StreamId, out: &mut Vec<Effect>) {
-        let keepers = self.members.record_keepers(id).into_iter();
-        out.extend(keepers.map(|to| Effect::Send(to, Message::StreamSought(id))));
+    /// The gateway that writes a bucket.
+    pub fn bucket_owner(&self, now: Millis, bucket: u8) -> Owner {
+        let key = u64::from(bucket);
+        self.members.owner_of(now, key, self.is_draining)
+    }
+
+    /// The records of these streams are to be written if this gateway writes their buckets.
+    pub fn note_streams(&mut self, streams: impl IntoIterator<Item = StreamId>) {
+        for id in streams {
+            self.stream_storage.bucket(id.bucket()).has_changed = true;
+        }
+    }
+
+    /// Asks the gateways that keep the record of a stream, and the one that writes it to the
+    /// store.
+    pub(super) fn seek_stream(
+        &mut self,
+        now: Millis,
+        id: StreamId,
+        turn: u32,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut asked = self.members.record_keepers(id);
+        if let Owner::Other(address) = self.bucket_owner(now, id.bucket())
+            && !asked.contains(&address)
+        {
+            asked.push(address);
+        }
+        out.push(Effect::SendAll(asked, Message::StreamSought(id)));
+        let is_owner = self.update_owner(now, id.bucket());
+        if is_owner || turn >= OWN_READ_TURN {
+            self.read_streams(now, id.bucket(), out);
+        }
+    }
+
+    /// Answers a gateway that asks for a stream, if its record is known here.
+    pub(super) fn stream_sought(
+        &mut self,
+        now: Millis,
+        from: &str,
+        id: StreamId,
+        out: &mut Vec<Effect>,
+    ) {
+        let to = self.members.address_of(from);
+        out.extend(to.map(|to| Effect::TellStream { to, id }));
+        if self.update_owner(now, id.bucket()) {
+            self.read_streams(now, id.bucket(), out);
+        }
+    }
+
+    /// Determines whether this gateway writes a bucket. One that begins to do so reads what
+    /// is stored, and adds what it knows.
+    fn update_owner(&mut self, now: Millis, bucket: u8) -> bool {
+        let is_owner = self.bucket_owner(now, bucket) == Owner::Own;
+        let state = self.stream_storage.bucket(bucket);
+        if is_owner && !state.is_owner {
+            state.revision = None;
+            state.has_changed = true;
+        }
+        state.is_owner = is_owner;
+        is_owner
+    }
+
+    /// Reads a bucket unless its content is known.
+    fn read_streams(&mut self, now: Millis, bucket: u8, out: &mut Vec<Effect>) {
+        let state = self.stream_storage.bucket(bucket);
+        let is_recent = state.is_owner || now.since(state.read_at) < REREAD_INTERVAL;
+        let is_known = state.revision.is_some() && is_recent;
+        if is_known || state.is_busy || self.is_store_lost {
+            return;
+        }
+        state.is_busy = true;
+        state.read_at = now;
+        out.push(Effect::ReadStreams(bucket));
+    }
+
+    /// Writes the buckets of this gateway that have changed, while a service has several
+    /// versions. Otherwise streams go on at the only one.
+    pub(super) fn store_streams(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.is_store_lost || !self.versions.are_several {
+            return;
+        }
+        let max_age = self.stream_lifetime();
+        for bucket in 0..STREAM_BUCKETS {
+            let is_owner = self.update_owner(now, bucket);
+            let state = self.stream_storage.bucket(bucket);
+            if !is_owner {
+                state.has_changed = false;
+            }
+            if !state.has_changed || state.is_busy || now < state.next_write {
+                continue;
+            }
+            state.is_busy = true;
+            let Some(expected) = state.revision else {
+                out.push(Effect::ReadStreams(bucket));
+                continue;
+            };
+            state.has_changed = false;
+            out.push(Effect::StoreStreams {
+                bucket,
+                expected,
+                max_age,
+            });
+        }
+    }
+
+    /// A bucket was read. What this gateway knows besides is written next.
+    pub(super) fn streams_read(
+        &mut self,
+        now: Millis,
+        bucket: u8,
+        revision: u64,
+        records: Vec<AgedRecord>,
+        out: &mut Vec<Effect>,
+    ) {
+        let state = self.stream_storage.bucket(bucket);
+        state.is_busy = false;
+        state.revision = Some(revision);
+        state.read_at = now;
+        state.has_changed |= state.is_owner;
+        out.push(Effect::LearnStoredStreams(records));
+    }
+
+    pub(super) fn streams_stored(&mut self, now: Millis, bucket: u8, revision: u64, bytes: usize) {
+        let writes_per_s = u64::from(self.settings.store_writes_per_s) / WRITES_DIVISOR;
+        let by_calls = u64::from(STREAM_BUCKETS) * 1_000 / writes_per_s.max(1);
+        let by_bytes = bytes as u64 * 1_000 / BYTES_PER_S;
+        let interval = MIN_WRITE_INTERVAL.max(Millis(by_calls.max(by_bytes)));
+        let state = self.stream_storage.bucket(bucket);
+        state.is_busy = false;
+        state.revision = Some(revision);
+        state.next_write = now + interval;
+    }
+
+    /// A call failed. A write may have taken effect, so that the bucket is read again.
+    pub(super) fn stream_storage_failed(&mut self, now: Millis, bucket: u8) {
+        let state = self.stream_storage.bucket(bucket);
+        state.is_busy = false;
+        state.revision = None;
+        state.has_changed = true;
+        state.next_write = now + RETRY_DELAY;
     }
 }
--- a/src/direct/control/versions.rs
+++ b/src/direct/control/versions.rs
@@ -4,6 +4,7 @@
 
 use super::{Control, Effect};
 use crate::clock::Millis;
+use crate::direct::document::RouteKind;
 use crate::direct::streams::{RECORD_LIFETIME, VersionHistory};
 use crate::direct::version_record::RecordedVersion;
 
@@ -13,6 +14,12 @@
 const TAKEOVER_DELAY_PER_RANK: Millis = Millis(250);
 /// Delay after a failed attempt.
 const RETRY_DELAY: Millis = Millis(1_000);
+/// Interval at which versions that left are looked through.
+const EXPIRY_INTERVAL: Millis = Millis(1_000);
+/// How long a stream and its callers' tries may last, in timeouts of its route.
+const TIMEOUTS_PER_STREAM: u64 = 2;
+/// The same without a configuration.
+const DEFAULT_STREAM_LIFETIME: Millis = Millis(60_000);
 
 /// The software versions of the services.
 #[derive(Clone, Debug, Default)]
@@ -21,6 +28,12 @@
     pub history: VersionHistory,
     /// The revision of the record and its rows; `None` until it has been read.
     recorded: Option<(u64, Vec<Row>)>,
+    /// The versions that are registered or left lately, sorted, as of the last look.
+    current: Vec<Row>,
+    /// Whether streams of several versions of one service may be left.
+    pub are_several: bool,
+    has_changed: bool,
+    next_look: Millis,
     /// Since when the record differs from what is registered.
     differs_since: Option<Millis>,
     is_writing: bool,
@@ -42,6 +55,13 @@
     }
 }
 
+impl Versions {
+    /// The registrations have changed.
+    pub(super) fn note_change(&mut self) {
+        self.has_changed = true;
+    }
+}
+
 /// Whether two sorted lists name the same versions as registered and as left.
 fn agree(a: &[Row], b: &[Row]) -> bool {
     let facts = |row: &Row| {
@@ -80,6 +100,7 @@
         // A slow response may be older than what is known. Then the next write fails and
         // leads to another reading.
         self.versions.recorded = Some((revision, rows));
+        self.versions.has_changed = true;
         out.push(Effect::Publish);
     }
 
@@ -92,6 +113,7 @@
     /// Writes the record if it differs from what is registered: the leader at once, others
     /// if nobody else does.
     pub(super) fn record_versions(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.look_at_versions(now);
         let state = &self.versions;
         let Some((expected, recorded)) = &state.recorded else {
             return;
@@ -100,8 +122,8 @@
         if self.is_store_lost || state.is_writing || self.directory.is_empty() {
             return;
         }
-        let (expected, rows) = (*expected, self.current_versions(now, recorded));
-        if agree(&rows, recorded) {
+        let expected = *expected;
+        if agree(&state.current, recorded) {
             self.versions.differs_since = None;
             return;
         }
@@ -115,9 +137,9 @@
             return;
         }
         state.is_writing = true;
-        let versions = rows.into_iter().map(|row| RecordedVersion {
-            service: row.service,
-            version: row.version,
+        let versions = state.current.iter().map(|row| RecordedVersion {
+            service: row.service.clone(),
+            version: row.version.clone(),
             left: row.left_at.map(|at| now.since(at)),
         });
         out.push(Effect::RecordVersions {
@@ -126,6 +148,35 @@
         });
     }
 
+    /// How long a stream and its callers' tries may last.
+    pub(super) fn stream_lifetime(&self) -> Millis {
+        let Some(document) = &self.document else {
+            return DEFAULT_STREAM_LIFETIME;
+        };
+        let resumable = RouteKind::Stream { is_resumable: true };
+        let routes = document.routes.iter().filter(|r| r.kind == resumable);
+        let longest = routes.map(|r| r.timeout.0).max().unwrap_or_default();
+        Millis(longest * TIMEOUTS_PER_STREAM)
+    }
+
+    /// Determines which versions there are, if that may have changed.
+    fn look_at_versions(&mut self, now: Millis) {
+        if !self.versions.has_changed && now < self.versions.next_look {
+            return;
+        }
+        let recorded = self.versions.recorded.as_ref();
+        let recorded = recorded.map_or(&[][..], |(_, rows)| rows);
+        let rows = self.current_versions(now, recorded);
+        let lifetime = self.stream_lifetime();
+        let may_have_streams = |row: &&Row| row.left_at.is_none_or(|at| now.since(at) < lifetime);
+        let mut services = rows.iter().filter(may_have_streams).map(|row| &row.service);
+        let mut last = services.next();
+        self.versions.are_several = services.any(|service| last.replace(service) == Some(service));
+        self.versions.current = rows;
+        self.versions.has_changed = false;
+        self.versions.next_look = now + EXPIRY_INTERVAL;
+    }
+
     /// The versions that are registered, and those that left so lately that streams may be
     /// left of them, sorted.
     fn current_versions(&self, now: Millis, recorded: &[Row]) -> Vec<Row> {
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -14,6 +14,7 @@
 use super::gossip::{Message, split_rows};
 use super::leader::ADAPTER_LOAD_TIME;
 use super::ledger::EngineCall;
+use super::members::Owner;
 use super::queue::{EventQueue, EventSender, Queued};
 use super::shared::Shared;
 use super::store::Store;
@@ -152,7 +153,23 @@
                 }
             }
             Effect::LearnStreams(records) => {
-                self.shared.streams.learn(self.shared.now(), records);
+                let new = self.shared.streams.learn(self.shared.now(), records);
+                control.note_streams(new);
+            }
+            Effect::LearnStoredStreams(records) => {
+                self.shared.streams.learn_stored(self.shared.now(), records);
+            }
+            Effect::ReadStreams(bucket) => {
+                spawn_local(calls.clone().read_streams(bucket));
+            }
+            Effect::StoreStreams {
+                bucket,
+                expected,
+                max_age,
+            } => {
+                let now = self.shared.now();
+                let records = self.shared.streams.of_bucket(now, bucket, max_age);
+                spawn_local(calls.clone().store_streams(bucket, expected, records));
             }
             Effect::PublishParts(lists) => {
                 self.shared
@@ -212,12 +229,22 @@
         }
     }
 
-    /// Tells the gateways that keep them of the streams that began here.
-    fn announce_streams(&self, control: &Control, calls: &BackgroundCalls) {
+    /// Tells the gateways that keep them, or write them to the store, of the streams that
+    /// began here.
+    fn announce_streams(&self, control: &mut Control, calls: &BackgroundCalls) {
         let records = self.shared.streams.take_unannounced();
+        let new = records.iter().filter(|(_, is_first)| *is_first);
+        control.note_streams(new.map(|(record, _)| record.id));
+        let now = self.shared.now();
         let mut by_keeper: Vec<(SocketAddr, Vec<StreamRecord>)> = Vec::new();
-        for record in records {
-            for keeper in control.members().record_keepers(record.id) {
+        for (record, _) in records {
+            let mut keepers = control.members().record_keepers(record.id);
+            if let Owner::Other(owner) = control.bucket_owner(now, record.id.bucket())
+                && !keepers.contains(&owner)
+            {
+                keepers.push(owner);
+            }
+            for keeper in keepers {
                 match by_keeper.binary_search_by_key(&keeper, |(address, _)| *address) {
                     Ok(at) => by_keeper[at].1.push(record.clone()),
                     Err(at) => by_keeper.insert(at, (keeper, vec![record.clone()])),
--- a/src/direct/origin.rs
+++ b/src/direct/origin.rs
@@ -66,16 +66,16 @@
     if let Some(version) = versions.only_version(&job.service).filter(|_| is_complete) {
         return Some((version.clone(), "only"));
     }
-    let id = id.filter(|_| shared.gateway_count() > 1)?;
-    let version = ask_peers(shared, id).await?;
-    Some((version, "peer"))
+    let version = look_up(shared, id?).await?;
+    Some((version, "asked"))
 }
 
-async fn ask_peers(shared: &Shared, id: StreamId) -> Option<CompactString> {
+/// Asks the gateways that keep the stream's record, and through them the store.
+async fn look_up(shared: &Shared, id: StreamId) -> Option<CompactString> {
     let mut changed = shared.streams.subscribe();
     let until = shared.now() + LOOKUP_TIMEOUT;
-    loop {
-        shared.send_event(Event::StreamSought(id));
+    for turn in 0.. {
+        shared.send_event(Event::StreamSought { id, turn });
         let asked_at = shared.now();
         while shared.now().since(asked_at) < ASK_INTERVAL {
             if let Some(version) = shared.streams.version_of(id) {
@@ -86,7 +86,8 @@
             let _ = timeout(left.as_duration(), changed.changed()).await;
         }
         if shared.now() >= until {
-            return None;
+            break;
         }
     }
+    None
 }
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -73,7 +73,10 @@
         | Event::Usage(_)
         | Event::Datagram(_)
         | Event::ModelWanted(_)
-        | Event::StreamSought(_)
+        | Event::StreamSought { .. }
+        | Event::StreamsRead { .. }
+        | Event::StreamsStored { .. }
+        | Event::StreamStorageFailed(_)
         | Event::TokensNeeded { .. }
         | Event::OrderAnswered { .. }
         | Event::Reported { .. }
--- a/src/direct/streams.rs
+++ b/src/direct/streams.rs
@@ -2,7 +2,9 @@
 //!
 //! A stream may go on only at the version that wrote its first event. The gateway that
 //! passes the first event on tells a few others, which the stream's identifier selects, so
-//! that any gateway can ask for the version after the first one is gone.
+//! that any gateway can ask for the version after the first one is gone. While a service has
+//! several versions, the store keeps the records too, for the case that all gateways end at
+//! once. Their identifiers divide them among a few keys, each with one gateway that writes it.
 
 use std::sync::{Mutex, MutexGuard};
 
@@ -22,16 +24,26 @@
 /// Number of gateways besides the first one that keep a record. Two of them may be
 /// lost at the same time.
 pub const RECORD_COPIES: usize = 3;
+/// How often the others are told of a stream. One message in a row may be lost.
+const ANNOUNCEMENTS: u8 = 2;
 
 /// Identifies a stream by the attempt that brought its first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamId(pub u64);
 
+/// Number of keys of the store that hold records of streams.
+pub const STREAM_BUCKETS: u8 = 16;
+
 impl StreamId {
     /// The stream that this attempt began.
     pub fn of_attempt(request_id: &str) -> Self {
         Self(xxhash_rust::xxh3::xxh3_64(request_id.as_bytes()))
     }
+
+    /// The bucket of the store that holds the stream's record.
+    pub fn bucket(self) -> u8 {
+        (self.0 % u64::from(STREAM_BUCKETS)) as u8
+    }
 }
 
 /// The software version that began a stream.
@@ -43,6 +55,9 @@
     pub version: CompactString,
 }
 
+/// A record, and how long ago it was last used.
+pub type AgedRecord = (StreamRecord, Millis);
+
 #[derive(Clone, Debug)]
 struct Entry {
     record: StreamRecord,
@@ -57,21 +72,20 @@
 
 impl StreamTable {
     /// Adds a record or marks the known one as used. The first version that is known
-    /// for a stream stays.
-    pub fn insert(&mut self, now: Millis, record: StreamRecord) {
-        match self.find(record.id) {
-            Ok(at) => self.entries[at].used_at = now,
-            Err(at) => {
-                let entry = Entry {
-                    record,
-                    used_at: now,
-                };
-                self.entries.insert(at, entry);
+    /// for a stream stays. Returns whether the stream was not known.
+    pub fn insert(&mut self, used_at: Millis, record: StreamRecord) -> bool {
+        let found = self.find(record.id);
+        match found {
+            Ok(at) => {
+                let known = &mut self.entries[at];
+                known.used_at = known.used_at.max(used_at);
             }
+            Err(at) => self.entries.insert(at, Entry { record, used_at }),
         }
         if self.entries.len() > MAX_RECORDS {
             self.drop_oldest();
         }
+        found.is_err()
     }
 
     /// The version that began a stream, if it is known.
@@ -92,6 +106,14 @@
         self.entries.iter().map(|e| &e.record)
     }
 
+    /// The records of a bucket that were used in the last `max_age`.
+    pub fn of_bucket(&self, now: Millis, bucket: u8, max_age: Millis) -> Vec<AgedRecord> {
+        let entries = self.entries.iter();
+        let of_bucket = entries.filter(|e| e.record.id.bucket() == bucket);
+        let aged = of_bucket.map(|e| (e.record.clone(), now.since(e.used_at)));
+        aged.filter(|(_, age)| *age < max_age).collect()
+    }
+
     /// The number of records.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -126,8 +148,8 @@
 #[derive(Debug, Default)]
 struct State {
     table: StreamTable,
-    /// Records of this gateway that the others have not been told.
-    unannounced: Vec<StreamRecord>,
+    /// Records of this gateway of which the others have yet to be told, and how often.
+    unannounced: Vec<(StreamRecord, u8)>,
     expired_at: Millis,
 }
 
@@ -147,18 +169,39 @@
         let mut state = self.lock();
         state.expire(now);
         state.table.insert(now, record.clone());
-        state.unannounced.push(record);
+        state.unannounced.push((record, ANNOUNCEMENTS));
     }
 
-    /// Takes over records of other gateways, and wakes those who wait for one.
-    pub fn learn(&self, now: Millis, records: Vec<StreamRecord>) {
+    /// Takes over records of other gateways, and wakes those who wait for one. Returns the
+    /// streams that were not known.
+    pub fn learn(&self, now: Millis, records: Vec<StreamRecord>) -> Vec<StreamId> {
         let mut state = self.lock();
         state.expire(now);
+        let mut new = Vec::new();
         for record in records {
-            state.table.insert(now, record);
+            let id = record.id;
+            if state.table.insert(now, record) {
+                new.push(id);
+            }
         }
         drop(state);
         self.changed.send_replace(());
+        new
+    }
+
+    /// Takes over records from the store, and wakes those who wait for one.
+    pub fn learn_stored(&self, now: Millis, records: Vec<AgedRecord>) {
+        let mut state = self.lock();
+        for (record, age) in records {
+            state.table.insert(now - age, record);
+        }
+        drop(state);
+        self.changed.send_replace(());
+    }
+
+    /// The records of a bucket that were used in the last `max_age`.
+    pub fn of_bucket(&self, now: Millis, bucket: u8, max_age: Millis) -> Vec<AgedRecord> {
+        self.lock().table.of_bucket(now, bucket, max_age)
     }
 
     /// The version that began a stream, if it is known here.
@@ -166,9 +209,18 @@
         self.lock().table.version_of(id).cloned()
     }
 
-    /// Returns the records that the others have not been told.
-    pub fn take_unannounced(&self) -> Vec<StreamRecord> {
-        std::mem::take(&mut self.lock().unannounced)
+    /// Returns the records of which the others have to be told now, each with whether that is
+    /// the first time.
+    pub fn take_unannounced(&self) -> Vec<(StreamRecord, bool)> {
+        let mut state = self.lock();
+        let due = state.unannounced.clone();
+        state.unannounced.retain_mut(|(_, left)| {
+            *left -= 1;
+            *left > 0
+        });
+        let told = due.into_iter();
+        told.map(|(record, left)| (record, left == ANNOUNCEMENTS))
+            .collect()
     }
 
     /// All records.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -313,7 +313,8 @@
     }
 }
 
-fn log_skipped(key: &str, error: &str) {
+/// Logs an entry of the store that cannot be used.
+pub fn log_skipped(key: &str, error: &str) {
     journal::write(
         "store.entry_skipped",
         &[("key", key.into()), ("why", error.into())],
--- a/tests/direct_streams.rs
+++ b/tests/direct_streams.rs
@@ -110,7 +110,7 @@
         let gateway = &self.gateways[at];
         gateway.streams.record(self.now, record);
         let records = gateway.streams.take_unannounced();
-        for record in records {
+        for (record, _) in records {
             for keeper in self.gateways[at].members.record_keepers(record.id) {
                 if !self.is_lost() {
                     let keeper = self.index_of(keeper);
