New streams are told at once to the gateway that writes their records

Of the streams that are taken up after all gateways lost power, those that had begun in the last 170 ms were refused: records waited for a tick at the gateway that began the stream, and for one at the gateway that writes them.

Change: both act when the stream begins, not at the next tick. Writes are paced as before.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -261,6 +261,8 @@
                 }
             }
             Event::ModelWanted(need) => self.model_wanted(now, need, &mut out),
+            Event::StreamBegan => out.push(Effect::AnnounceStreams),
+            Event::StreamsNoted => self.store_changed_streams(now, &mut out),
             Event::StreamSought { id, turn } => self.seek_stream(now, id, turn, &mut out),
             Event::StreamsRead {
                 bucket,
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -96,6 +96,10 @@
     Datagram(Datagram),
     /// A request waits for a model or adapter that no endpoint holds.
     ModelWanted(Need),
+    /// A stream began here, of which the others have yet to be told.
+    StreamBegan,
+    /// Records of streams came that this gateway may have to write to the store.
+    StreamsNoted,
     /// A request goes on with a stream of which no record is known here.
     StreamSought {
         /// The stream.
@@ -220,6 +224,7 @@
             Self::LeaseHeld(_) | Self::LeaseLost => "lease",
             Self::Datagram(datagram) => datagram.message.name(),
             Self::ModelWanted(_) => "model_wanted",
+            Self::StreamBegan | Self::StreamsNoted => "stream_began",
             Self::StreamSought { .. } => "stream_sought",
             Self::StreamsRead { .. }
             | Self::StreamsStored { .. }
--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -125,20 +125,30 @@
         out.push(Effect::ReadStreams(bucket));
     }
 
-    /// Writes the buckets of this gateway that have changed, while a service has several
-    /// versions. Otherwise streams go on at the only one.
+    /// Determines the buckets of this gateway, while a service has several versions, and writes
+    /// them. Otherwise streams go on at the only version.
     pub(super) fn store_streams(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if !self.versions.are_several {
+            return;
+        }
+        for bucket in 0..STREAM_BUCKETS {
+            if !self.update_owner(now, bucket) {
+                self.stream_storage.bucket(bucket).has_changed = false;
+            }
+        }
+        self.store_changed_streams(now, out);
+    }
+
+    /// Writes the buckets of this gateway that have changed.
+    pub(super) fn store_changed_streams(&mut self, now: Millis, out: &mut Vec<Effect>) {
         if self.is_store_lost || !self.versions.are_several {
             return;
         }
         let max_age = self.stream_lifetime();
         for bucket in 0..STREAM_BUCKETS {
-            let is_owner = self.update_owner(now, bucket);
             let state = self.stream_storage.bucket(bucket);
-            if !is_owner {
-                state.has_changed = false;
-            }
-            if !state.has_changed || state.is_busy || now < state.next_write {
+            let is_due = state.has_changed && !state.is_busy && now >= state.next_write;
+            if !is_due || !state.is_owner {
                 continue;
             }
             state.is_busy = true;
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -18,7 +18,7 @@
 use super::queue::{EventQueue, EventSender, Queued};
 use super::shared::Shared;
 use super::store::Store;
-use super::streams::StreamRecord;
+use super::streams::{StreamId, StreamRecord};
 use super::supervision::{Supervisor, spawn_restarting};
 use super::suspects::{PartId, PartProgress};
 use super::sync::{
@@ -154,7 +154,7 @@
             }
             Effect::LearnStreams(records) => {
                 let new = self.shared.streams.learn(self.shared.now(), records);
-                control.note_streams(new);
+                self.note_streams(control, new);
             }
             Effect::LearnStoredStreams(records) => {
                 self.shared.streams.learn_stored(self.shared.now(), records);
@@ -229,12 +229,20 @@
         }
     }
 
+    /// Has the records of streams written to the store, if that is up to this gateway.
+    fn note_streams(&self, control: &mut Control, new: Vec<StreamId>) {
+        if !new.is_empty() {
+            control.note_streams(new);
+            self.events.send(Event::StreamsNoted);
+        }
+    }
+
     /// Tells the gateways that keep them, or write them to the store, of the streams that
     /// began here.
     fn announce_streams(&self, control: &mut Control, calls: &BackgroundCalls) {
         let records = self.shared.streams.take_unannounced();
         let new = records.iter().filter(|(_, is_first)| *is_first);
-        control.note_streams(new.map(|(record, _)| record.id));
+        self.note_streams(control, new.map(|(record, _)| record.id).collect());
         let now = self.shared.now();
         let mut by_keeper: Vec<(SocketAddr, Vec<StreamRecord>)> = Vec::new();
         for (record, _) in records {
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -73,6 +73,8 @@
         | Event::Usage(_)
         | Event::Datagram(_)
         | Event::ModelWanted(_)
+        | Event::StreamBegan
+        | Event::StreamsNoted
         | Event::StreamSought { .. }
         | Event::StreamsRead { .. }
         | Event::StreamsStored { .. }
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -13,6 +13,7 @@
 use crate::code::Code;
 use crate::direct::answer::{ResponseBody, TruncatedBody, UpstreamBody};
 use crate::direct::buffers::Reservation;
+use crate::direct::control::Event;
 use crate::direct::document::RouteKind;
 use crate::direct::forward::{AttemptHistory, Forwarder, UpstreamResponse};
 use crate::direct::framing::{BodyEnd, Framing};
@@ -277,6 +278,7 @@
             };
             self.forwarder.shared.streams.record(now, record);
         }
+        self.forwarder.shared.send_event(Event::StreamBegan);
     }
 
     fn record_first_event(&self, now: Millis) {
