--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -18,6 +18,8 @@
 /// From this question on, a gateway reads the store itself: the owner of the bucket doesn't
 /// know the stream, or is away.
 const OWN_READ_TURN: u32 = 2;
+/// Interval at which a gateway determines which buckets it writes.
+const OWNER_INTERVAL: Millis = Millis(250);
 /// How long a bucket that another gateway writes is not read again.
 const REREAD_INTERVAL: Millis = Millis(200);
 
@@ -40,6 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct StreamStorage {
     buckets: [Bucket; STREAM_BUCKETS as usize],
+    owners_due: Millis,
 }
 
 impl StreamStorage {
@@ -100,9 +103,11 @@
     }
 
     /// Determines whether this gateway writes a bucket. One that begins to do so reads what
-    /// is stored, and adds what it knows.
+    /// is stored, and adds what it knows. Right after the start it hears no others, and would
+    /// take itself for the owner of all.
     fn update_owner(&mut self, now: Millis, bucket: u8) -> bool {
-        let is_owner = self.bucket_owner(now, bucket) == Owner::Own;
+        let is_owner =
+            self.members.hears_majority(now) && self.bucket_owner(now, bucket) == Owner::Own;
         let state = self.stream_storage.bucket(bucket);
         if is_owner && !state.is_owner {
             state.revision = None;
@@ -131,9 +136,12 @@
         if !self.versions.are_several {
             return;
         }
-        for bucket in 0..STREAM_BUCKETS {
-            if !self.update_owner(now, bucket) {
-                self.stream_storage.bucket(bucket).has_changed = false;
+        if now >= self.stream_storage.owners_due {
+            self.stream_storage.owners_due = now + OWNER_INTERVAL;
+            for bucket in 0..STREAM_BUCKETS {
+                if !self.update_owner(now, bucket) {
+                    self.stream_storage.bucket(bucket).has_changed = false;
+                }
             }
         }
         self.store_changed_streams(now, out);
