Close the handles of ended channels in the harness

Cause: the stand-ins kept a handle of each channel, so that long plays could run out of descriptors. Change: the handle goes with its channel.

--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -68,7 +68,8 @@
     is_registered: AtomicBool,
     born: u64,
     held: Mutex<Held>,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<BTreeMap<u64, TcpStream>>,
+    next_channel: AtomicU64,
     beats: AtomicU64,
     store: Arc<Store>,
     record: Arc<Record>,
@@ -101,6 +102,7 @@
                 ..Held::default()
             }),
             open: Mutex::default(),
+            next_channel: AtomicU64::new(0),
             beats: AtomicU64::new(0),
             store: store.clone(),
             record: record.clone(),
@@ -166,7 +168,7 @@
     pub fn crash(&self) {
         self.is_over.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address);
-        for stream in self.open.lock().unwrap().drain(..) {
+        for stream in std::mem::take(&mut *self.open.lock().unwrap()).into_values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.record
@@ -175,10 +177,16 @@
 
     fn serve(self: &Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        self.open
-            .lock()
-            .unwrap()
-            .push(stream.try_clone().expect("a handle"));
+        let Ok(handle) = stream.try_clone() else {
+            return;
+        };
+        let number = self.next_channel.fetch_add(1, Ordering::AcqRel);
+        self.open.lock().unwrap().insert(number, handle);
+        self.serve_channel(stream);
+        self.open.lock().unwrap().remove(&number);
+    }
+
+    fn serve_channel(self: &Arc<Self>, stream: TcpStream) {
         let mut out = stream.try_clone().expect("a handle");
         let mut reader = BufReader::new(stream);
         while let Some(head) = read_head(&mut reader) {
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -34,7 +34,8 @@
     state: Mutex<State>,
     changed: Condvar,
     is_away: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<BTreeMap<u64, TcpStream>>,
+    next_channel: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -156,6 +157,7 @@
             changed: Condvar::new(),
             is_away: AtomicBool::new(false),
             open: Mutex::default(),
+            next_channel: AtomicU64::new(0),
             record,
         });
         let expiring = store.clone();
@@ -195,7 +197,7 @@
     /// The store is away: it ends all channels and takes none.
     pub fn go_away(&self) {
         self.is_away.store(true, Ordering::Release);
-        for stream in self.open.lock().unwrap().drain(..) {
+        for stream in std::mem::take(&mut *self.open.lock().unwrap()).into_values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.changed.notify_all();
@@ -235,10 +237,16 @@
 
     fn serve(self: &Arc<Self>, way: &Way, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        self.open
-            .lock()
-            .unwrap()
-            .push(stream.try_clone().expect("a handle"));
+        let Ok(handle) = stream.try_clone() else {
+            return;
+        };
+        let number = self.next_channel.fetch_add(1, Ordering::AcqRel);
+        self.open.lock().unwrap().insert(number, handle);
+        self.serve_channel(way, stream);
+        self.open.lock().unwrap().remove(&number);
+    }
+
+    fn serve_channel(self: &Arc<Self>, way: &Way, stream: TcpStream) {
         let mut out = stream.try_clone().expect("a handle");
         let mut reader = BufReader::new(stream);
         while let Some(head) = read_head(&mut reader) {
