--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -101,9 +101,9 @@
          {{\"Name\":\"chat\",\"Host\":\"{HOST}\",\"Prefix\":\"/lohu930/\",\"Kind\":\"stream\",\"TimeoutMs\":12000,\
          \"TargetLatencyMs\":250,\"Priority\":0,\"Service\":\"llm\",\"MaxAttempts\":2,\"Public\":false,\
          \"Sticky\":true,\"CanResume\":true,\"GapAimMs\":250}},\
-         {{\"Name\":\"batch\",\"Host\":\"{HOST}\",\"Prefix\":\"/bepo271/\",\"Kind\":\"stream\",\"TimeoutMs\":15000,\
-         \"TargetLatencyMs\":1200,\"Priority\":0,\"Service\":\"llm\",\"MaxAttempts\":2,\"Public\":false,\
-         \"Sticky\":true,\"CanResume\":true,\"GapAimMs\":250}},\
+         {{\"Name\":\"batch\",\"Host\":\"{HOST}\",\"Prefix\":\"/bepo271/\",\"Kind\":\"stream\",\"TimeoutMs\":20000,\
+         \"TargetLatencyMs\":8000,\"Priority\":0,\"Service\":\"llm\",\"MaxAttempts\":2,\"Public\":false,\
+         \"Sticky\":true,\"CanResume\":true,\"GapAimMs\":300}},\
          {{\"Name\":\"order\",\"Host\":\"{HOST}\",\"Prefix\":\"/puxa403/\",\"Kind\":\"unsafe\",\"TimeoutMs\":4000,\
          \"TargetLatencyMs\":300,\"Priority\":2,\"Service\":\"desk\",\"MaxAttempts\":1,\"Public\":false}},\
          {{\"Name\":\"lookup\",\"Host\":\"{HOST}\",\"Prefix\":\"/cufi504/\",\"Kind\":\"safe\",\"TimeoutMs\":12000,\
--- a/review/harness/cases/slow_reader.rs
+++ b/review/harness/cases/slow_reader.rs
@@ -12,8 +12,8 @@
 use crate::socket::connect_with_window;
 
 const CONSUMERS: usize = 8;
-/// How long a consumer reads nothing. The stream's route has a target of 1,200 ms, so that
-/// consumers abandon it after a gap of 4.8 s.
+/// How long a consumer reads nothing. The stream's route has a target of 8 s, so that consumers
+/// abandon it after a gap of 32 s.
 const PAUSE: Duration = Duration::from_millis(3_000);
 /// Its receive buffer: links have small windows.
 const WINDOW_BYTES: i32 = 4_096;
@@ -36,7 +36,7 @@
     if !front.wait_until_ready() {
         return Outcome::NotRun("the front is not ready".to_owned());
     }
-    world.pause(4_000);
+    world.pause(5_000);
     let consumers: Vec<_> = (0..CONSUMERS)
         .map(|_| {
             let (callers, record) = (front.callers, world.record.clone());
