A gateway whose registration is lost writes it again, and late writes replace nothing newer

Callers whose streams had begun at one gateway couldn't take them up elsewhere after it ended: the others answered 503 (code 3007) to each try, in calm (LOST). An endpoint with a limited rate got twice the rate (LIMIT). Both lasted as long as the gateway ran.

Cause: the store may carry out a write seconds after its caller gave up on it. The registration was written without a condition and never looked at again. A write of a starting gateway got no answer; it opened a second lease and registered under that; then the first write replaced the key, which now hung on the first lease, and went with it. The gateway renewed its second lease and noticed nothing: its log has lease.opened and, 3 s later, peer.silent for all others. Nothing said that the key was gone, so registration.written and registration.lost are new lines.

Change: each write of the registration depends on the revision of its key, so that a late one finds another revision and is refused. What the lists and watches show of the gateway's own key is compared with the revision that it wrote last; if the key is gone or was replaced, it's written again. Both are decided by membership::registration, without network or clock. The store gets one more call only if the key has a revision that the gateway doesn't know (after a kill, say).

Why both: a condition alone doesn't help a key that an operator, a restored store or a process with the same name changes; looking alone leaves a gap of one watch after each late write.

The handling of messages moved from control.rs to control/messages.rs, the lease from background_calls.rs to background_calls/lease.rs.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -37,6 +37,7 @@
 pub mod load_exchange;
 pub mod loans;
 pub mod members;
+pub mod membership;
 pub mod notices;
 mod origin;
 pub mod pace;
--- a/src/direct/background_calls.rs
+++ b/src/direct/background_calls.rs
@@ -1,5 +1,6 @@
 //! Calls of the control thread to the store, the engines and the other gateways.
 
+mod lease;
 mod records;
 
 use std::cell::{Cell, RefCell};
@@ -8,31 +9,30 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::connection::{CALL_LIMITS, CallClient, ExchangeError, call, call_endpoint};
 use super::control::Event;
-use super::dialect::{Call, Lease, ModelOrder, Registration, StoreError, Transaction};
+use super::dialect::{Call, ModelOrder, Registration, StoreError, Transaction};
 use super::evacuation::ZoneList;
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, Message, SECRET_BYTES, Secret, decode, encode};
 use super::internal::{PEER_TOKEN_HEADER, ZONES_HEADER, newer_configuration, peer_token};
 use super::ledger::ORDER_TIMEOUT;
-use super::members::Member;
 use super::queue::EventSender;
 use super::shared::Shared;
 use super::store::Store;
 use super::supervision::Supervisor;
-use super::sync::{LEADER_KEY, MEMBER_PREFIX, SECRET_KEY};
+use super::sync::{LEADER_KEY, SECRET_KEY};
 use crate::clock::Millis;
 use crate::journal;
 
+use lease::HeldLease;
+
 /// Delay before a failed call to the store is retried.
 const RETRY_DELAY: Millis = Millis(150);
-/// Renewals per lease duration; two of them may fail before the lease expires.
-const RENEWALS_PER_LEASE: u64 = 4;
 /// How long a call to an engine waits for a grant, if the engine takes a limited rate.
 const MAX_GRANT_WAIT: Millis = Millis(200);
 /// Timeout of a request for another gateway's configuration.
@@ -46,7 +46,7 @@
     shared: Arc<Shared>,
     events: EventSender,
     boot: u64,
-    lease: Cell<Option<Lease>>,
+    lease: Cell<Option<HeldLease>>,
     secret: Cell<Option<Secret>>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
     last_number: Cell<u64>,
@@ -77,61 +77,6 @@
         self.events.send(event);
     }
 
-    /// Keeps this gateway registered under a lease; opens a new lease when one is
-    /// lost.
-    async fn maintain_lease(self: Rc<Self>) {
-        loop {
-            match self.open_lease().await {
-                Ok((lease, era)) => {
-                    self.lease.set(Some(lease));
-                    self.renew_until_lost(lease, era).await;
-                    if self.lease.take().is_none() {
-                        // `end_lease` took it because the process is stopping.
-                        return;
-                    }
-                    self.send_event(Event::LeaseLost);
-                }
-                Err(error) => {
-                    log_store_failure("lease", &error);
-                    sleep(RETRY_DELAY.as_duration()).await;
-                }
-            }
-        }
-    }
-
-    /// Opens a lease and registers this gateway. Returns the lease with its era.
-    async fn open_lease(&self) -> Result<(Lease, u64), StoreError> {
-        self.restore_secret().await?;
-        let sent_at = self.shared.now();
-        let lease = self
-            .store
-            .open_lease(self.shared.settings.bounds.lease)
-            .await?;
-        let era = self.store.era();
-        let member = Member {
-            name: self.shared.settings.name.clone(),
-            address: self.shared.settings.internal,
-            boot: self.boot,
-        };
-        let value = serde_json::to_vec(&member)
-            .map_err(|e| StoreError::Malformed(format_compact!("{e}")))?;
-        let key = format_compact!("{MEMBER_PREFIX}{}", member.name);
-        let transaction = Transaction {
-            expected: Vec::new(),
-            puts: vec![(key, Bytes::from(value), lease.id)],
-        };
-        self.store.commit(&transaction).await?;
-        if self.store.era() != era {
-            return Err(StoreError::Restored);
-        }
-        journal::write(
-            "lease.opened",
-            &[("lease", lease.id.into()), ("ttl_ms", lease.ttl.into())],
-        );
-        self.send_event(Event::LeaseHeld(sent_at + lease.ttl));
-        Ok((lease, era))
-    }
-
     /// Writes the gateways' secret again if the store came back from a copy without it, so
     /// that gateways which start from now on use the same.
     async fn restore_secret(&self) -> Result<(), StoreError> {
@@ -152,55 +97,6 @@
         self.store.commit(&transaction).await.map(drop)
     }
 
-    /// Renews a lease until the store reports that it no longer exists. In a new era it
-    /// may belong to somebody else.
-    async fn renew_until_lost(&self, lease: Lease, era: u64) {
-        let interval = Millis(lease.ttl.0 / RENEWALS_PER_LEASE);
-        let mut held_until = self.shared.now() + lease.ttl;
-        loop {
-            let renewed_in = timeout(interval.as_duration(), self.store.new_era()).await;
-            if renewed_in.is_ok() || self.store.era() != era {
-                journal::write("lease.ended", &[("lease", lease.id.into())]);
-                return;
-            }
-            // The store counts from the arrival of the call, so the lease runs for at
-            // least its whole duration from here.
-            let sent_at = self.shared.now();
-            match self.store.renew_lease(lease.id).await {
-                Ok(()) if self.store.era() != era => {}
-                Ok(()) => {
-                    held_until = sent_at + lease.ttl;
-                    self.send_event(Event::LeaseHeld(held_until));
-                    self.send_event(Event::StoreAnswered);
-                }
-                Err(StoreError::NotFound) => {
-                    journal::write("lease.ended", &[("lease", lease.id.into())]);
-                    return;
-                }
-                Err(error) => {
-                    log_store_failure("renew", &error);
-                    self.send_event(Event::StoreLost);
-                    let has_expired = self.shared.now() >= held_until;
-                    let delay = if has_expired {
-                        RETRY_DELAY
-                    } else {
-                        Millis(interval.0 / 4)
-                    };
-                    sleep(delay.as_duration()).await;
-                }
-            }
-        }
-    }
-
-    /// Ends the lease, so that other gateways don't have to wait until it expires.
-    pub async fn end_lease(&self) {
-        if let Some(lease) = self.lease.take()
-            && let Err(error) = self.store.end_lease(lease.id).await
-        {
-            log_store_failure("end lease", &error);
-        }
-    }
-
     /// Tries to become leader by writing the leader key, if its revision is the
     /// expected one.
     pub async fn claim_leadership(self: Rc<Self>, expected: u64, is_succession: bool) {
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -10,9 +10,11 @@
 mod leadership;
 mod limits;
 mod loads;
+mod messages;
 mod needs;
 mod notices;
 mod parts;
+mod registration;
 mod relayed;
 mod store;
 mod streams;
@@ -25,12 +27,12 @@
 use super::balance::FULL_COMPARISON_GATEWAYS;
 use super::directory::{Change, Directory, GracePeriods};
 use super::document::Document;
-use super::gossip::Message;
 use super::leader::{Leader, LeaderTerm};
 use super::load_exchange::LoadExchange;
 use super::members::Members;
+use super::membership::registration::OwnRegistration;
 use super::notices::NoticeBoard;
-use super::rate_owner::{Grant, NamedRate, RateOwner};
+use super::rate_owner::RateOwner;
 use super::rates::Rates;
 use super::registry::{Registry, RegistryChange};
 use super::settings::{Bounds, Settings};
@@ -93,6 +95,7 @@
     /// Whether the leader key has been read.
     is_leader_record_known: bool,
     lease_until: Millis,
+    registration: OwnRegistration,
     is_store_lost: bool,
     /// When the store last answered again after calls had failed.
     store_regained_at: Option<Millis>,
@@ -156,6 +159,7 @@
             highest_fence: 0,
             is_leader_record_known: false,
             lease_until: Millis::ZERO,
+            registration: OwnRegistration::default(),
             is_store_lost: false,
             store_regained_at: None,
             restored_at: None,
@@ -266,7 +270,16 @@
             Event::MemberRemoved(name) => self.member_left(now, &name),
             Event::LeaderKey(record) => self.leader_key_read(now, record),
             Event::LeaseHeld(until) => self.lease_until = self.lease_until.max(until),
-            Event::LeaseLost => self.resign("lease lost"),
+            Event::LeaseOpened(lease) => self.lease_opened(now, lease, &mut out),
+            Event::LeaseLost => self.lease_lost(),
+            Event::RegistrationWritten { lease, revision } => {
+                self.registration_written(now, lease, revision, &mut out)
+            }
+            Event::RegistrationConflicted { lease, found } => {
+                self.registration_conflicted(now, lease, found, &mut out)
+            }
+            Event::RegistrationFailed(lease) => self.registration.failed(now, lease),
+            Event::RegistrationSeen(seen) => self.registration_seen(now, seen, &mut out),
             Event::LeadershipClaimed {
                 fence,
                 is_succession,
@@ -374,6 +387,7 @@
                 self.welcome_with_evacuations(now, &peer, out);
             }
         }
+        self.write_registration(now, out);
         self.tell_notices(out);
         self.tend_cold(now, out);
         self.tick_evacuations(now, out);
@@ -405,83 +419,6 @@
         self.versions.note_change();
         out.push(Effect::Publish);
     }
-
-    fn handle_message(&mut self, now: Millis, from: &str, message: Message, out: &mut Vec<Effect>) {
-        match message {
-            Message::Borrow { workspace, tokens } => {
-                let to = self.members.address_of(from);
-                out.extend(to.map(|to| Effect::Lend {
-                    to,
-                    workspace,
-                    tokens,
-                }));
-            }
-            Message::Lend {
-                workspace,
-                tokens,
-                left,
-            } => {
-                self.members.set_lender_level(from, &workspace, left);
-                out.push(Effect::ReceiveLoan { workspace, tokens });
-            }
-            Message::Wanted { service, wanted } => {
-                self.need_reported(now, Need::new(service, wanted), out);
-            }
-            Message::WantedAtVersion(need) => self.need_reported(now, need, out),
-            Message::StreamSought(id) => self.stream_sought(now, from, id, out),
-            Message::Streams(records) => out.push(Effect::LearnStreams(records)),
-            Message::Crashes(reports) => self.crashes_told(now, from, reports, out),
-            Message::PartProgress(told) => self.progress_told(now, told),
-            Message::Blocks(blocks) => self.blocks_told(now, blocks, out),
-            Message::Leaving(runs) => self.leaving_told(now, from, &runs, out),
-            Message::Members(members) => self.members_told(members, out),
-            Message::Evacuations(told) => self.evacuations_told(now, from, &told, out),
-            Message::RateLimits(news) => self.limits_told(now, from, &news, out),
-            Message::ColdEndpoints(news) => self.cold_told(now, &news),
-            Message::GrantsWanted {
-                run,
-                rate,
-                sent_age,
-                heard_age,
-                wanted,
-            } => {
-                let named = NamedRate::aged(now, rate, sent_age, heard_age);
-                self.grants_asked(now, from, (run, named, wanted), out)
-            }
-            Message::Grants {
-                run,
-                requests,
-                next_in,
-                wanted,
-            } => {
-                let grant = Grant { requests, next_in };
-                self.notices.granted(now, run, grant, wanted);
-            }
-            Message::Registrations(update) => self.registrations_told(now, from, update, out),
-            Message::RegistrationsSought(revision) => {
-                self.registrations_sought(now, from, revision, out)
-            }
-            Message::Holdings(all) => {
-                let mut has_changed = false;
-                for holdings in all {
-                    has_changed |= self.directory.set_holdings(holdings);
-                }
-                if has_changed {
-                    out.push(Effect::Publish);
-                }
-            }
-            Message::Adapters(used) => {
-                if let Some(leader) = &mut self.leader {
-                    leader.note_adapters_used(now, &used);
-                }
-            }
-            Message::Loads(kind, part) => self.loads.receive(now, from, kind, part),
-            // Handled by `Members::receive`.
-            Message::Status { .. } | Message::Limits(_) | Message::Demand { .. } => {}
-            // The sender is of an older build; this gateway asks others or watches the store.
-            Message::RetiredRegistry | Message::RetiredRelay(_) => {}
-        }
-    }
 }
 
 fn set_zone_bounds(notices: &NoticeBoard, bounds: &Bounds) {
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -15,6 +15,7 @@
 use crate::direct::gossip::{Datagram, Message};
 use crate::direct::ledger::EngineCall;
 use crate::direct::members::Member;
+use crate::direct::membership::registration::{Seen, Write};
 use crate::direct::notices::{LimitNews, RunId};
 use crate::direct::part_table::PartLists;
 use crate::direct::rate_owner::NamedRate;
@@ -98,10 +99,30 @@
     MemberRemoved(CompactString),
     /// The leader key was read or changed; `None` if it does not exist.
     LeaderKey(Option<LeaderRecord>),
-    /// This gateway's lease is valid until this time.
+    /// A lease was opened, under which this gateway registers.
+    LeaseOpened(u64),
+    /// This gateway is registered under a lease that is valid until this time.
     LeaseHeld(Millis),
     /// This gateway's lease has ended.
     LeaseLost,
+    /// This gateway's registration was written.
+    RegistrationWritten {
+        /// The lease.
+        lease: u64,
+        /// The revision of its key.
+        revision: u64,
+    },
+    /// This gateway's registration was not written, as its key has another revision.
+    RegistrationConflicted {
+        /// The lease.
+        lease: u64,
+        /// The revision; 0 if the key does not exist.
+        found: u64,
+    },
+    /// A write of this gateway's registration failed. It may still take effect.
+    RegistrationFailed(u64),
+    /// The store shows the key of this gateway's registration.
+    RegistrationSeen(Seen),
     /// This gateway claimed the leader key.
     LeadershipClaimed {
         /// The fencing number.
@@ -243,7 +264,11 @@
             Self::StoreLost | Self::StoreAnswered | Self::StoreRestored => "store",
             Self::Members(_) | Self::MemberPut(_) | Self::MemberRemoved(_) => "members",
             Self::LeaderKey(_) | Self::LeadershipClaimed { .. } => "leader",
-            Self::LeaseHeld(_) | Self::LeaseLost => "lease",
+            Self::LeaseOpened(_) | Self::LeaseHeld(_) | Self::LeaseLost => "lease",
+            Self::RegistrationWritten { .. }
+            | Self::RegistrationConflicted { .. }
+            | Self::RegistrationFailed(_)
+            | Self::RegistrationSeen(_) => "registration",
             Self::Datagram(datagram) => datagram.message.name(),
             Self::ModelWanted(_) => "model_wanted",
             Self::StreamBegan | Self::StreamsNoted => "stream_began",
@@ -368,6 +393,8 @@
     },
     /// Fetch the configuration from a gateway if it has a newer one than this one.
     PullConfiguration(SocketAddr),
+    /// Write this gateway's registration.
+    Register(Write),
     /// Try to claim the leader key.
     ClaimLeadership {
         /// The revision that the key must have; 0 if it must not exist.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -88,9 +88,10 @@
             follow(store, events, pace, RegistrationFollower { relay, clock })
         });
         let follows = (store.clone(), events.clone(), pace.clone());
+        let own_name = self.shared.settings.name.clone();
         spawn_restarting(move || {
             let (store, events, pace) = follows.clone();
-            follow(store, events, pace, FleetFollower)
+            follow(store, events, pace, FleetFollower::new(&own_name))
         });
         supervisor.spawn("tick", tick(self.shared.clone(), events));
         let mut control =
@@ -186,6 +187,9 @@
             Effect::RecordVersions { expected, versions } => {
                 spawn_local(calls.clone().record_versions(expected, versions));
             }
+            Effect::Register(write) => {
+                spawn_local(calls.clone().register(write));
+            }
             Effect::ClaimLeadership {
                 expected,
                 is_succession,
--- a/src/direct/queue.rs
+++ b/src/direct/queue.rs
@@ -26,8 +26,8 @@
 /// The group of events that an event is queued with, in order of precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Lane {
-    /// The configuration, evacuated zones, this gateway's lease, the leader, the set of gateways, and what
-    /// an operator orders.
+    /// The configuration, evacuated zones, this gateway's lease and registration, the leader,
+    /// the set of gateways, and what an operator orders.
     Fleet,
     /// Registrations and crashes of endpoints.
     Endpoints,
@@ -46,8 +46,13 @@
         | Event::MemberRemoved(_)
         | Event::LeaderKey(_)
         | Event::LeadershipClaimed { .. }
+        | Event::LeaseOpened(_)
         | Event::LeaseHeld(_)
         | Event::LeaseLost
+        | Event::RegistrationWritten { .. }
+        | Event::RegistrationConflicted { .. }
+        | Event::RegistrationFailed(_)
+        | Event::RegistrationSeen(_)
         | Event::Bounds(_)
         | Event::BlockOrdered { .. }
         | Event::Drain
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use tokio::time::{sleep, timeout};
 
 use super::control::{Event, LeaderRecord, Pauses};
 use super::dialect::{Item, Page, StoreError};
 use super::members::Member;
+use super::membership::registration::Seen;
 use super::queue::EventSender;
 use super::store::Store;
 use super::{block_record, version_record};
@@ -247,6 +248,11 @@
 pub const FLEET_PREFIX: &str = "rattanstall/";
 /// The prefix of the gateways' leased registrations.
 pub const MEMBER_PREFIX: &str = "rattanstall/gateways/";
+/// The key of a gateway's registration.
+pub fn member_key(name: &str) -> CompactString {
+    format_compact!("{MEMBER_PREFIX}{name}")
+}
+
 /// The key that holds the name of the leader.
 pub const LEADER_KEY: &str = "rattanstall/leader";
 /// The key that holds the fleet's secret.
@@ -287,9 +293,18 @@
 
 /// Follows the gateway registrations, the leader key, and the records of blocked parts and of
 /// software versions.
-pub struct FleetFollower;
+pub struct FleetFollower {
+    own_key: CompactString,
+}
 
 impl FleetFollower {
+    /// Follows them for the gateway with this name.
+    pub fn new(own_name: &str) -> Self {
+        Self {
+            own_key: member_key(own_name),
+        }
+    }
+
     fn decode_member(item: &Item) -> Option<Member> {
         let value = item.value.as_ref()?;
         match serde_json::from_slice(value) {
@@ -324,8 +339,13 @@
         let members = members.filter(|item| item.key.starts_with(MEMBER_PREFIX));
         let members = members.filter_map(Self::decode_member).collect();
         let leader = page.items.iter().find(|item| item.key == LEADER_KEY);
+        let own = page.items.iter().find(|item| item.key == self.own_key);
         vec![
             Event::Members(members),
+            Event::RegistrationSeen(Seen {
+                revision: own.map_or(page.revision, |item| item.revision),
+                is_present: own.is_some(),
+            }),
             Event::LeaderKey(leader.and_then(Self::decode_leader)),
             decode_blocks(page.items.iter().find(|item| item.key == BLOCKS_KEY)),
             decode_versions(page.items.iter().find(|item| item.key == VERSIONS_KEY)),
@@ -342,6 +362,12 @@
         if item.key == VERSIONS_KEY {
             return Some(decode_versions(Some(&item)));
         }
+        if item.key == self.own_key {
+            return Some(Event::RegistrationSeen(Seen {
+                revision: item.revision,
+                is_present: item.value.is_some(),
+            }));
+        }
         let name = item.key.strip_prefix(MEMBER_PREFIX)?;
         match item.value {
             Some(_) => Self::decode_member(&item).map(Event::MemberPut),
