A gateway whose registration is gone owns nothing

An endpoint that names the rate that it takes got twice of it (LIMIT): 32 requests in 4 s at a limit of 4 a second, where 29 are allowed, for as long as one gateway was not registered.

Cause: the other gateways drop one whose registration is gone, and send it nothing more. It hears nobody, so that it takes itself for the owner of each rate, and granted whole rates to itself: it asked only whether its own lease runs, which says nothing of its registration. The others have another owner.

Change: membership::authority decides from the registration, the lease and the gateways that are heard. A gateway whose registration the store has shown as gone grants nothing and counts as cut off, as one whose lease ended among a minority does: it sends at half of an even share, claims no leadership and writes no records of streams as their owner. Until it has been registered for the first time, and for the 1.5 s in which it may not have heard the others yet, it owns only what a majority leaves it. Once it's registered again, it and the others tell each other all anew.

The owners moved from members.rs to members/owners.rs.

--- a/src/direct/control/grants.rs
+++ b/src/direct/control/grants.rs
@@ -36,10 +36,10 @@
         }
     }
 
-    /// Grants requests as the owner, unless the other gateways may count this one as gone.
+    /// Grants requests as the owner, if this gateway may act as such.
     fn grant(&mut self, now: Millis, asked: Question) -> Option<Grant> {
         let (run, named, wanted) = asked;
-        if self.is_cut_off(now) {
+        if !self.authority(now).may_own() {
             return None;
         }
         let Some((rate, _)) = self.notices.cold(now, run) else {
--- a/src/direct/control/leadership.rs
+++ b/src/direct/control/leadership.rs
@@ -47,6 +47,7 @@
             && self.leader.is_none()
             && self.is_leader_record_known
             && now + LEASE_MARGIN < self.lease_until
+            && !self.registration.is_lost()
             && self.document.is_some();
         if !is_able || now < self.due.claim {
             return;
--- a/src/direct/control/limits.rs
+++ b/src/direct/control/limits.rs
@@ -78,7 +78,7 @@
             return;
         }
         let limits = limits_of(document);
-        let is_cut_off = self.is_cut_off(now);
+        let is_cut_off = self.authority(now).is_cut_off();
         let others = self.members.limit_usage(now);
         let own = MemberUsage {
             limits: Some(self.rates.limits().to_vec()),
@@ -91,11 +91,6 @@
         }
     }
 
-    /// Whether the other gateways may count this one as gone.
-    pub(super) fn is_cut_off(&self, now: Millis) -> bool {
-        now >= self.lease_until && !self.members.hears_majority(now)
-    }
-
     pub(super) fn log_shares(&mut self, now: Millis, others: usize, is_cut_off: bool) {
         if now < self.due.shares_log {
             return;
--- a/src/direct/control/registration.rs
+++ b/src/direct/control/registration.rs
@@ -2,10 +2,21 @@
 
 use super::{Control, Effect};
 use crate::clock::Millis;
+use crate::direct::membership::authority::Authority;
 use crate::direct::membership::registration::{Loss, Seen};
 use crate::journal;
 
 impl Control {
+    /// What this gateway may decide for all.
+    pub(super) fn authority(&self, now: Millis) -> Authority<'_> {
+        Authority {
+            now,
+            registration: &self.registration,
+            lease_until: self.lease_until,
+            hears_majority: self.members.hears_majority(now),
+        }
+    }
+
     pub(super) fn lease_opened(&mut self, now: Millis, lease: u64, out: &mut Vec<Effect>) {
         self.registration.lease_opened(now, lease);
         self.write_registration(now, out);
@@ -28,7 +39,12 @@
         revision: u64,
         out: &mut Vec<Effect>,
     ) {
+        let was_lost = self.registration.is_lost();
         let loss = self.registration.written(now, lease, revision);
+        if was_lost {
+            // They tell and are told anew as soon as they know this one again.
+            self.members.forget_contact();
+        }
         journal::write(
             "registration.written",
             &[("lease", lease.into()), ("revision", revision.into())],
--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -106,8 +106,8 @@
     /// is stored, and adds what it knows. Right after the start it hears no others, and would
     /// take itself for the owner of all.
     fn update_owner(&mut self, now: Millis, bucket: u8) -> bool {
-        let is_owner =
-            self.members.hears_majority(now) && self.bucket_owner(now, bucket) == Owner::Own;
+        let may_own = self.members.hears_majority(now) && self.authority(now).may_own();
+        let is_owner = may_own && self.bucket_owner(now, bucket) == Owner::Own;
         let state = self.stream_storage.bucket(bucket);
         if is_owner && !state.is_owner {
             state.revision = None;
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -1,5 +1,7 @@
 //! The other registered gateways and their latest reports.
 
+mod owners;
+
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -13,11 +15,13 @@
 use super::view::LoadTable;
 use crate::clock::Millis;
 
+pub use owners::Owner;
+
 /// Age at which a load report is no longer used, in a small fleet and in report intervals.
 const MAX_LOAD_AGE: Millis = Millis(1_000);
 const MAX_LOAD_INTERVALS: u64 = 3;
 /// How long a gateway counts as reachable after its last datagram.
-const PEER_TIMEOUT: Millis = Millis(1_500);
+pub const PEER_TIMEOUT: Millis = Millis(1_500);
 /// Number of gateways of a group that pass messages on, in turn. Updates overlap, so that
 /// one of them may be lost without a gap.
 const DISTRIBUTORS: usize = 2;
@@ -33,16 +37,6 @@
     pub boot: u64,
 }
 
-/// The gateway that owns something: that grants requests to an endpoint with a limited rate, or
-/// writes records of streams to the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Owner {
-    /// This gateway.
-    Own,
-    /// The one at this address.
-    Other(SocketAddr),
-}
-
 /// The latest messages from a peer.
 #[derive(Clone, Debug, Default)]
 struct PeerReport {
@@ -161,47 +155,6 @@
         ahead.take(sponsors).count() < sponsors
     }
 
-    /// The owner of what a key stands for, such as an endpoint's rate, among the gateways that
-    /// stay and are heard. This gateway says whether it is stopping itself.
-    pub fn owner_of(&self, now: Millis, key: u64, is_draining: bool) -> Owner {
-        let weight = |name: &str| rendezvous_weight(key, name);
-        let best = self.staying(now).max_by_key(|p| weight(&p.member.name));
-        match best {
-            Some(best) if is_draining || weight(&best.member.name) > weight(&self.own_name) => {
-                Owner::Other(best.member.address)
-            }
-            _ => Owner::Own,
-        }
-    }
-
-    /// Whether a registered gateway that is not heard comes before all that are heard as the
-    /// owner of what a key stands for. Others may hear it, and take it for the owner.
-    pub fn may_be_preceded(&self, now: Millis, key: u64) -> bool {
-        let weight = |peer: &Peer| rendezvous_weight(key, &peer.member.name);
-        let own = rendezvous_weight(key, &self.own_name);
-        let is_silent = |p: &&Peer| {
-            p.report.boot == 0
-                || !p.report.is_draining && now.since(p.report.received_at) >= PEER_TIMEOUT
-        };
-        let mut silent = self.peers.iter().filter(is_silent);
-        silent.any(|peer| weight(peer) > own)
-    }
-
-    /// Identifies the set of gateways among which owners are chosen.
-    pub fn membership(&self, now: Millis, is_draining: bool) -> u64 {
-        let own = rendezvous_weight(u64::from(is_draining), &self.own_name);
-        let others = self.staying(now);
-        let weights = others.map(|p| rendezvous_weight(p.member.boot, &p.member.name));
-        weights.fold(own, u64::wrapping_add)
-    }
-
-    fn staying(&self, now: Millis) -> impl Iterator<Item = &Peer> {
-        let peers = self.peers.iter().filter(|p| p.report.boot != 0);
-        peers.filter(move |p| {
-            !p.report.is_draining && now.since(p.report.received_at) < PEER_TIMEOUT
-        })
-    }
-
     /// Removes a gateway that is no longer registered. Returns its last reported usage
     /// unless it was draining.
     pub fn remove(&mut self, name: &str) -> Option<MemberUsage> {
@@ -213,6 +166,14 @@
         })
     }
 
+    /// The other gateways count as not heard until their next message.
+    pub fn forget_contact(&mut self) {
+        for peer in &mut self.peers {
+            peer.report.boot = 0;
+            peer.was_reachable = false;
+        }
+    }
+
     /// Stores the report in a datagram, or returns any other message. Datagrams that
     /// are outdated or come from an unregistered gateway are ignored.
     pub fn receive(&mut self, now: Millis, datagram: Datagram) -> Option<Message> {
@@ -276,14 +237,6 @@
         self.peers.len() + 1
     }
 
-    /// Whether this gateway and the reachable peers are a majority of the registered gateways.
-    pub fn hears_majority(&self, now: Millis) -> bool {
-        let is_reachable =
-            |p: &&Peer| now.since(p.report.received_at) < PEER_TIMEOUT && p.report.boot != 0;
-        let reachable = self.peers.iter().filter(is_reachable).count() + 1;
-        reachable * 2 > self.count()
-    }
-
     /// Gateways that became reachable or unreachable since the last call, with
     /// whether they are reachable.
     pub fn take_reachability_changes(&mut self, now: Millis) -> Vec<(CompactString, bool)> {
