What a gateway without a registration says of streams is believed

Streams that began at a gateway while it was not registered couldn't be taken up after its end: the others answered 503 (code 3007) to each try, though endpoints of their version served (LOST).

Cause: datagrams of a gateway that isn't registered, or whose registration names another start, were dropped whole.

Change: records of streams are taken from any gateway that has the secret, and so are the names of further gateways, which count only while the store is away. Between the loss of a registration and the moment at which the others have read the next one, nothing of streams is lost any more.

--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -175,13 +175,16 @@
     }
 
     /// Stores the report in a datagram, or returns any other message. Datagrams that
-    /// are outdated or come from an unregistered gateway are ignored.
+    /// are outdated are ignored, and those of an unregistered gateway, unless they hold
+    /// what is true whoever says it.
     pub fn receive(&mut self, now: Millis, datagram: Datagram) -> Option<Message> {
-        let at = self.find(&datagram.from).ok()?;
+        let is_member = |at: &usize| self.peers[*at].member.boot == datagram.boot;
+        let Some(at) = self.find(&datagram.from).ok().filter(is_member) else {
+            let message = datagram.message;
+            let is_fact = matches!(message, Message::Streams(_) | Message::Members(_));
+            return is_fact.then_some(message);
+        };
         let peer = &mut self.peers[at];
-        if peer.member.boot != datagram.boot {
-            return None;
-        }
         let report = &mut peer.report;
         let is_new_start = report.boot != datagram.boot;
         let last = match datagram.message.is_urgent() {
