A stream goes on at the only known version only if others, asked now, know no other

Callers that took streams up at a gateway which was out of step during a release got the rest from another software version (ORDER), with nothing in the answer to show it.

Cause: a gateway without a record of a stream took the only version that it knew of, if it had read the record of versions once. It asked nobody. A gateway that is cut off, or has stood still and answers what waited before it has read what changed, knows only the old version, while streams have begun at the new one through other gateways.

Change: it asks the gateways that keep the stream's record even if it knows of one version. The only version counts if one of them answers that it has no record and knows of one version too (a new message), and if this gateway's own knowledge is current (membership::currency: its lease was renewed in the last half of its duration, or it hears most others). With no other gateway registered, the second is enough. Otherwise the request is refused as not run, with Retry-After, as for streams of unknown origin. A known record is used as before, at any time. Cost: one question for each stream that is taken up where no record is; 60 ms of wait if nobody has one.

Weighed: to ask only when not current. Rejected, as a process that stood still for less than half a lease can't tell. To refuse all streams while not current: rejected, as streams with a record go on safely while the store is away.

--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -347,7 +347,11 @@
         to: SocketAddr,
         /// The stream.
         id: StreamId,
+        /// Whether to tell it also that nothing is known.
+        if_unknown: bool,
     },
+    /// Another gateway knows nothing of a stream, and of one software version only.
+    LearnStreamUnknown(StreamId),
     /// Take over records of streams from another gateway.
     LearnStreams(Vec<StreamRecord>),
     /// Take over records of streams from the store.
--- a/src/direct/control/messages.rs
+++ b/src/direct/control/messages.rs
@@ -36,6 +36,7 @@
             Message::WantedAtVersion(need) => self.need_reported(now, need, out),
             Message::StreamSought(id) => self.stream_sought(now, from, id, out),
             Message::Streams(records) => out.push(Effect::LearnStreams(records)),
+            Message::StreamUnknown(id) => out.push(Effect::LearnStreamUnknown(id)),
             Message::Crashes(reports) => self.crashes_told(now, from, reports, out),
             Message::PartProgress(told) => self.progress_told(now, told),
             Message::Blocks(blocks) => self.blocks_told(now, blocks, out),
--- a/src/direct/control/registration.rs
+++ b/src/direct/control/registration.rs
@@ -3,6 +3,7 @@
 use super::{Control, Effect};
 use crate::clock::Millis;
 use crate::direct::membership::authority::Authority;
+use crate::direct::membership::currency::Currency;
 use crate::direct::membership::registration::{Loss, Seen};
 use crate::journal;
 
@@ -17,6 +18,18 @@
         }
     }
 
+    /// Until when what this gateway knows of the endpoints counts as current.
+    pub fn current_until(&self, now: Millis) -> Millis {
+        let currency = Currency {
+            now,
+            lease_until: self.lease_until,
+            lease: self.settings.bounds.lease,
+            is_store_lost: self.is_store_lost,
+            hears_most_others: self.members.count() > 1 && self.members.hears_majority(now),
+        };
+        currency.until()
+    }
+
     pub(super) fn lease_opened(&mut self, now: Millis, lease: u64, out: &mut Vec<Effect>) {
         self.registration.lease_opened(now, lease);
         self.write_registration(now, out);
--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -95,8 +95,9 @@
         id: StreamId,
         out: &mut Vec<Effect>,
     ) {
+        let if_unknown = !self.versions.are_several && now < self.current_until(now);
         let to = self.members.address_of(from);
-        out.extend(to.map(|to| Effect::TellStream { to, id }));
+        out.extend(to.map(|to| Effect::TellStream { to, id, if_unknown }));
         if self.update_owner(now, id.bucket()) {
             self.read_streams(now, id.bucket(), out);
         }
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -103,6 +103,7 @@
             let effects = control.reduce(began, event);
             relay_progress.set(control.relay_progress());
             pace.set(control.pauses());
+            self.shared.set_current_until(control.current_until(began));
             store.log_if_due(began);
             for effect in effects {
                 self.carry_out(&mut control, &calls, effect);
@@ -147,11 +148,16 @@
             }
             Effect::AnnounceStreams => self.announce_streams(control, calls),
             Effect::CopyStreams { to } => self.copy_streams(control, calls, &to),
-            Effect::TellStream { to, id } => {
-                if let Some(version) = self.shared.streams.version_of(id) {
+            Effect::TellStream { to, id, if_unknown } => match self.shared.streams.version_of(id) {
+                Some(version) => {
                     let record = StreamRecord { id, version };
                     calls.send(&[to], Message::Streams(vec![record]));
                 }
+                None if if_unknown => calls.send(&[to], Message::StreamUnknown(id)),
+                None => {}
+            },
+            Effect::LearnStreamUnknown(id) => {
+                self.shared.streams.learn_unknown(self.shared.now(), id);
             }
             Effect::LearnStreams(records) => {
                 let new = self.shared.streams.learn(self.shared.now(), records);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -182,6 +182,9 @@
     ColdEndpoints(Vec<ColdNews>),
     /// The zones that the operator evacuates.
     Evacuations(ZoneList),
+    /// Answers that nothing is known of a stream, and that the sender knows of one software
+    /// version of each service only.
+    StreamUnknown(StreamId),
 }
 
 impl Message {
@@ -196,6 +199,7 @@
             Self::Adapters(_) => "peer_adapters",
             Self::Wanted { .. } | Self::WantedAtVersion(_) => "peer_wanted",
             Self::StreamSought(_) => "peer_stream_sought",
+            Self::StreamUnknown(_) => "peer_stream_unknown",
             Self::Streams(_) => "peer_streams",
             Self::Registrations(_) | Self::RetiredRegistry | Self::RetiredRelay(_) => {
                 "peer_registry"
--- a/src/direct/membership.rs
+++ b/src/direct/membership.rs
@@ -2,4 +2,5 @@
 //! what it may decide for all of them.
 
 pub mod authority;
+pub mod currency;
 pub mod registration;
--- a/src/direct/origin.rs
+++ b/src/direct/origin.rs
@@ -1,7 +1,7 @@
 //! Finds where a stream goes on that its caller takes up again.
 
 use compact_str::CompactString;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::control::Event;
 use super::document::RouteKind;
@@ -19,6 +19,8 @@
 /// Interval between questions: the record of a stream that has just begun may still be
 /// on its way to the gateways that keep it.
 const ASK_INTERVAL: Millis = Millis(60);
+/// Interval at which a request looks whether what is known of the endpoints is current.
+const CURRENCY_POLL_INTERVAL: Millis = Millis(20);
 /// `Retry-After` if the version is not known. A record may still be on its way.
 const UNKNOWN_RETRY_AFTER: Millis = Millis(300);
 /// `Retry-After` if no endpoint has the version: about the time in which a crashed
@@ -61,33 +63,64 @@
     if let Some(version) = id.and_then(|id| shared.streams.version_of(id)) {
         return Some((version, "record"));
     }
+    // This gateway may not have heard of other versions: it asks even if it knows of one only.
+    let is_unknown_elsewhere = match id {
+        Some(id) if shared.gateway_count() > 1 => match look_up(shared, id).await {
+            Found::Version(version) => return Some((version, "asked")),
+            Found::Nothing => true,
+            Found::NoAnswer => false,
+        },
+        _ => true,
+    };
+    let is_current = is_unknown_elsewhere && wait_until_current(shared).await;
     let versions = shared.view().versions.clone();
-    let is_complete = versions.is_complete(shared.now());
-    if let Some(version) = versions.only_version(&job.service).filter(|_| is_complete) {
-        return Some((version.clone(), "only"));
+    let may_trust = is_current && versions.is_complete(shared.now());
+    let only = versions.only_version(&job.service).filter(|_| may_trust)?;
+    Some((only.clone(), "only"))
+}
+
+/// Waits until what is known of the endpoints is current. Right after the start, the store
+/// has yet to answer.
+async fn wait_until_current(shared: &Shared) -> bool {
+    let until = shared.now() + LOOKUP_TIMEOUT;
+    while !shared.is_current() && shared.now() < until {
+        sleep(CURRENCY_POLL_INTERVAL.as_duration()).await;
     }
-    let version = look_up(shared, id?).await?;
-    Some((version, "asked"))
+    shared.is_current()
+}
+
+/// What the other gateways know of a stream.
+enum Found {
+    /// The version that began it.
+    Version(CompactString),
+    /// Nothing, and they know of one version only.
+    Nothing,
+    /// Nobody has answered.
+    NoAnswer,
 }
 
 /// Asks the gateways that keep the stream's record, and through them the store.
-async fn look_up(shared: &Shared, id: StreamId) -> Option<CompactString> {
+async fn look_up(shared: &Shared, id: StreamId) -> Found {
     let mut changed = shared.streams.subscribe();
-    let until = shared.now() + LOOKUP_TIMEOUT;
+    let began = shared.now();
     for turn in 0.. {
         shared.send_event(Event::StreamSought { id, turn });
         let asked_at = shared.now();
         while shared.now().since(asked_at) < ASK_INTERVAL {
             if let Some(version) = shared.streams.version_of(id) {
-                return Some(version);
+                return Found::Version(version);
             }
             let left = (asked_at + ASK_INTERVAL).since(shared.now());
             // Records of other streams wake this task as well.
             let _ = timeout(left.as_duration(), changed.changed()).await;
         }
-        if shared.now() >= until {
+        // Another one that was asked may have known it, and had the time to answer.
+        if shared.streams.is_unknown_since(began, id) {
+            return Found::Nothing;
+        }
+        if shared.now().since(began) >= LOOKUP_TIMEOUT {
             break;
         }
     }
-    None
+    Found::NoAnswer
 }
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -76,6 +76,7 @@
     draining_since: AtomicU64,
     open_requests: AtomicU64,
     gateway_count: AtomicUsize,
+    current_until: AtomicU64,
     peer_token: OnceLock<String>,
 }
 
@@ -114,6 +115,7 @@
             draining_since: AtomicU64::new(u64::MAX),
             open_requests: AtomicU64::new(0),
             gateway_count: AtomicUsize::new(1),
+            current_until: AtomicU64::new(0),
             peer_token: OnceLock::new(),
         }
     }
@@ -406,6 +408,16 @@
         self.gateway_count.store(gateways.max(1), Ordering::Relaxed);
     }
 
+    /// Whether what is known of the endpoints counts as current.
+    pub fn is_current(&self) -> bool {
+        self.now().0 < self.current_until.load(Ordering::Relaxed)
+    }
+
+    /// Sets until when what is known of the endpoints counts as current.
+    pub fn set_current_until(&self, until: Millis) {
+        self.current_until.store(until.0, Ordering::Relaxed);
+    }
+
     /// The token with which gateways authenticate to each other; `None` until the
     /// secret is known.
     pub fn peer_token(&self) -> Option<&String> {
--- a/src/direct/streams.rs
+++ b/src/direct/streams.rs
@@ -21,6 +21,8 @@
 const EXPIRY_INTERVAL: Millis = Millis(5_000);
 /// The most records that a gateway keeps, about 3 MB.
 const MAX_RECORDS: usize = 1 << 16;
+/// The most answers that are kept of gateways that know nothing of a stream.
+const MAX_UNKNOWN: usize = 1 << 12;
 /// Number of gateways besides the first one that keep a record. Two of them may be
 /// lost at the same time.
 pub const RECORD_COPIES: usize = 3;
@@ -150,6 +152,8 @@
     table: StreamTable,
     /// Records of this gateway of which the others have yet to be told, and how often.
     unannounced: Vec<(StreamRecord, u8)>,
+    /// Streams of which another gateway knew nothing, with the times of its answers.
+    unknown: Vec<(StreamId, Millis)>,
     expired_at: Millis,
 }
 
@@ -159,6 +163,8 @@
         if now.since(self.expired_at) >= EXPIRY_INTERVAL {
             self.expired_at = now;
             self.table.expire(now);
+            self.unknown
+                .retain(|(_, at)| now.since(*at) < EXPIRY_INTERVAL);
         }
     }
 }
@@ -199,6 +205,22 @@
         self.changed.send_replace(());
     }
 
+    /// Records that another gateway knows nothing of a stream.
+    pub fn learn_unknown(&self, now: Millis, id: StreamId) {
+        let mut state = self.lock();
+        state.expire(now);
+        if state.unknown.len() < MAX_UNKNOWN {
+            state.unknown.push((id, now));
+        }
+    }
+
+    /// Whether another gateway has answered since a time that it knows nothing of a stream.
+    pub fn is_unknown_since(&self, since: Millis, id: StreamId) -> bool {
+        let state = self.lock();
+        let mut answers = state.unknown.iter();
+        answers.any(|(unknown, at)| *unknown == id && *at >= since)
+    }
+
     /// The records of a bucket that were used in the last `max_age`.
     pub fn of_bucket(&self, now: Millis, bucket: u8, max_age: Millis) -> Vec<AgedRecord> {
         self.lock().table.of_bucket(now, bucket, max_age)
--- a/tests/support/stream_fleet.rs
+++ b/tests/support/stream_fleet.rs
@@ -285,7 +285,7 @@
             Effect::LearnStoredStreams(records) => {
                 self.gateways[at].streams.learn_stored(now, records);
             }
-            Effect::TellStream { to, id } => {
+            Effect::TellStream { to, id, .. } => {
                 if let Some(version) = self.gateways[at].streams.version_of(id) {
                     let told = vec![StreamRecord { id, version }];
                     self.send(at, &[index_of(to)], Message::Streams(told));
