A stopping gateway passes no request on for the first time late in its grace period

In a planned stop, requests whose bodies ended late were taken and passed on, and cut with no answer when the process exited, those among them that may not be repeated (LOST).

Cause: a draining gateway refuses new requests from 2.8 s on, but looked only when a head had arrived. A request whose body comes slowly, or that waits for an endpoint, a turn or tokens, was sent at any time up to the exit 7.6 s after the signal.

Change: admission::draining is asked again after the body and right before an endpoint gets a request for the first time. It's refused as not run (503, Retry-After 50 ms). Requests that an endpoint has got are repeated and resumed as before, since nothing better can become of them.

Requests that came late as a whole were refused before too.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use tokio::time::{sleep, timeout};
 
+use super::admission::draining::check_draining;
 use super::admission::retry_delay::{RefusedShare, retry_delay};
 use super::answer::UpstreamBody;
 use super::buffers::BufferBudget;
@@ -131,6 +132,9 @@
                     break;
                 }
             };
+            if history.runs == 0 {
+                check_draining(self.shared.draining_for())?;
+            }
             history.attempted.push(key);
             let last_event_id = resume.last_event_id.as_deref();
             match self.attempt(job, key, last_event_id, turn).await {
--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use super::admission::draining::check_draining;
 use super::answer::ResponseBody;
 use super::caller_stream::{CallerStream, ConnectionEnd};
 use super::connection::configure_tcp;
@@ -41,12 +42,6 @@
 /// the share of its time that it may take.
 const MAX_BLOCKS_WAIT: Millis = Millis(300);
 const BLOCKS_WAIT_DIVISOR: u64 = 6;
-/// Time after the start of a drain from which new requests are refused. By then
-/// the load balancer has taken the process out, and a request that still arrives
-/// might not complete before the process exits.
-const DRAIN_REFUSAL_DELAY: Millis = Millis(2_800);
-/// `Retry-After` while draining: short, as the retry goes to another gateway.
-const DRAINING_RETRY_AFTER: Millis = Millis(50);
 /// Delay after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Millis = Millis(20);
 /// The shortest header field with its line end. A head of legal size may consist of these.
@@ -228,10 +223,7 @@
             let stale = Refusal::new(Code::ConfigurationStale);
             return Err(stale.retry_after(NO_CONFIGURATION_RETRY_AFTER));
         };
-        if self.shared.draining_for() > DRAIN_REFUSAL_DELAY {
-            let stopping = Refusal::new(Code::Draining);
-            return Err(stopping.retry_after(DRAINING_RETRY_AFTER));
-        }
+        check_draining(self.shared.draining_for())?;
         if metadata.id.is_empty() {
             return Err(Refusal::new(Code::NoRequestId));
         }
@@ -244,6 +236,7 @@
         hold.resize(head_cost(&parts.uri, &parts.headers))?;
         let max_bytes = document.limits.body_bytes;
         let body = read_body(body, &mut hold, max_bytes, request_timeout).await?;
+        check_draining(self.shared.draining_for())?;
         let max_wait = MAX_BLOCKS_WAIT.min(Millis(request_timeout.0 / BLOCKS_WAIT_DIVISOR));
         self.wait_for_blocks(&metadata, max_wait, is_logged).await;
         // Before it counts as demand for its model.
