--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -210,6 +210,11 @@
         *lock(&self.shared.forced_answer) = answer;
     }
 
+    /// Answers requests for a path as all others again.
+    pub fn remove_page(&self, path: &str) {
+        lock(&self.shared.pages).retain(|(known, ..)| known != path);
+    }
+
     /// Sets the answer to requests for a path. They are not recorded.
     pub fn set_page(&self, path: &str, status: u16, document: serde_json::Value) {
         let mut pages = lock(&self.shared.pages);
