A gateway that is heard again is told of the streams that it missed

Related path of the registration that is lost: streams that begin while their gateway and those that keep its records don't reach each other are known nowhere else, also after the contact is back. If the gateway ends then, callers' tries are refused (3007).

Cause: a record is told to its keepers twice within 100 ms, and all of it only to a gateway that joins.

Change: a gateway that is heard again is told of the records that were used from a second before it was heard last. The same after a lost registration was written again.

Evidence: tests/direct_members.rs, without network. Not shown with processes, whose datagrams our tests can't cut. Cost: nothing while all hear each other.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -382,6 +382,7 @@
             };
             journal::write(event, &[("peer", (&peer).into())]);
             if is_reachable {
+                self.copy_missed_streams(&peer, out);
                 self.welcome(now, &peer, out);
                 self.welcome_with_statements(now, &peer, out);
                 self.welcome_with_evacuations(now, &peer, out);
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -336,10 +336,13 @@
     SendAll(Vec<SocketAddr>, Message),
     /// Tell other gateways of the streams that began here.
     AnnounceStreams,
-    /// Tell a gateway that has just joined of the streams whose records it keeps.
+    /// Tell a gateway that has just joined, or is heard again, of the streams whose records
+    /// it keeps.
     CopyStreams {
         /// The gateway's name.
         to: CompactString,
+        /// Only of those that were used since this time.
+        since: Millis,
     },
     /// Tell a gateway which version began a stream, if that is known here.
     TellStream {
--- a/src/direct/control/limits.rs
+++ b/src/direct/control/limits.rs
@@ -130,7 +130,10 @@
         self.shares.member_returned(&name);
         self.acquaintances.confirm(&name);
         if self.members.put(member) {
-            out.push(Effect::CopyStreams { to: name });
+            out.push(Effect::CopyStreams {
+                to: name,
+                since: Millis::ZERO,
+            });
         }
     }
 
--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -20,6 +20,8 @@
 const OWN_READ_TURN: u32 = 2;
 /// Interval at which a gateway determines which buckets it writes.
 const OWNER_INTERVAL: Millis = Millis(250);
+/// How long before a gateway was heard last what it was told may be lost.
+const LOSS_MARGIN: Millis = Millis(1_000);
 /// How long a bucket that another gateway writes is not read again.
 const REREAD_INTERVAL: Millis = Millis(200);
 
@@ -87,6 +89,16 @@
         }
     }
 
+    /// Tells a gateway that is heard again of the streams that it has missed: what it was told
+    /// while it was not heard, and shortly before, may be lost.
+    pub(super) fn copy_missed_streams(&mut self, peer: &str, out: &mut Vec<Effect>) {
+        let silent_since = self.members.take_silent_since(peer);
+        out.extend(silent_since.map(|since| Effect::CopyStreams {
+            to: peer.into(),
+            since: since - LOSS_MARGIN,
+        }));
+    }
+
     /// Answers a gateway that asks for a stream, if its record is known here.
     pub(super) fn stream_sought(
         &mut self,
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -147,7 +147,7 @@
                 spawn_local(calls.clone().pull_configuration(peer, control.version()));
             }
             Effect::AnnounceStreams => self.announce_streams(control, calls),
-            Effect::CopyStreams { to } => self.copy_streams(control, calls, &to),
+            Effect::CopyStreams { to, since } => self.copy_streams(control, calls, &to, since),
             Effect::TellStream { to, id, if_unknown } => match self.shared.streams.version_of(id) {
                 Some(version) => {
                     let record = StreamRecord { id, version };
@@ -276,13 +276,13 @@
         }
     }
 
-    /// Sends a gateway that has joined the records that it keeps from now on.
-    fn copy_streams(&self, control: &Control, calls: &BackgroundCalls, name: &str) {
+    /// Sends a gateway the records that it keeps, of streams that were used since a time.
+    fn copy_streams(&self, control: &Control, calls: &BackgroundCalls, name: &str, since: Millis) {
         let members = control.members();
         let Some(to) = members.address_of(name) else {
             return;
         };
-        let mut records = self.shared.streams.all();
+        let mut records = self.shared.streams.used_since(since);
         records.retain(|record| members.keeps_record(name, record.id));
         if records.is_empty() {
             return;
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -60,6 +60,8 @@
     member: Member,
     report: PeerReport,
     was_reachable: bool,
+    /// Since when it has not been heard, until it is heard again.
+    silent_since: Option<Millis>,
 }
 
 /// The other registered gateways, sorted by name.
@@ -120,6 +122,7 @@
                     member,
                     report: PeerReport::default(),
                     was_reachable: false,
+                    silent_since: None,
                 };
                 self.peers.insert(at, peer);
             }
@@ -169,6 +172,9 @@
     /// The other gateways count as not heard until their next message.
     pub fn forget_contact(&mut self) {
         for peer in &mut self.peers {
+            if peer.report.boot != 0 {
+                peer.silent_since = Some(peer.report.received_at);
+            }
             peer.report.boot = 0;
             peer.was_reachable = false;
         }
@@ -249,11 +255,20 @@
                 peer.report.boot != 0 && now.since(peer.report.received_at) < PEER_TIMEOUT;
             if std::mem::replace(&mut peer.was_reachable, is_reachable) != is_reachable {
                 changes.push((peer.member.name.clone(), is_reachable));
+                if !is_reachable {
+                    peer.silent_since = Some(peer.report.received_at);
+                }
             }
         }
         changes
     }
 
+    /// Returns once since when a gateway had not been heard that is heard again.
+    pub fn take_silent_since(&mut self, name: &str) -> Option<Millis> {
+        let at = self.find(name).ok()?;
+        self.peers[at].silent_since.take()
+    }
+
     /// The sum of the loads that the other gateways have in flight, sorted by endpoint.
     pub fn loads(&self, now: Millis) -> LoadTable {
         let mut all: LoadTable = Vec::new();
--- a/src/direct/streams.rs
+++ b/src/direct/streams.rs
@@ -103,9 +103,10 @@
             .retain(|e| now.since(e.used_at) < RECORD_LIFETIME);
     }
 
-    /// All records.
-    pub fn records(&self) -> impl Iterator<Item = &StreamRecord> {
-        self.entries.iter().map(|e| &e.record)
+    /// The records that were used since a time.
+    pub fn used_since(&self, since: Millis) -> impl Iterator<Item = &StreamRecord> {
+        let used = self.entries.iter().filter(move |e| e.used_at >= since);
+        used.map(|e| &e.record)
     }
 
     /// The records of a bucket that were used in the last `max_age`.
@@ -245,9 +246,9 @@
             .collect()
     }
 
-    /// All records.
-    pub fn all(&self) -> Vec<StreamRecord> {
-        self.lock().table.records().cloned().collect()
+    /// The records that were used since a time.
+    pub fn used_since(&self, since: Millis) -> Vec<StreamRecord> {
+        self.lock().table.used_since(since).cloned().collect()
     }
 
     /// Subscribes to records of other gateways.
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -6,10 +6,11 @@
 mod registration;
 
 use rattanstall::clock::Millis;
+use rattanstall::direct::control::{Effect, Event};
 use rattanstall::direct::gossip::{Datagram, Message};
 use rattanstall::direct::members::{Member, Members};
 
-use fleet::{gateway, member};
+use fleet::{from_peer, gateway, member, registered_gateway};
 
 fn datagram(boot: u64, number: u64) -> Datagram {
     Datagram {
@@ -41,3 +42,26 @@
     let changes = members.take_reachability_changes(Millis(1_110));
     assert_eq!(changes, [], "once only");
 }
+
+// Guards against streams that nobody can go on with, as they began while their gateway and those
+// that keep its records did not reach each other, and it ended soon after.
+#[test]
+fn a_gateway_that_is_heard_again_is_told_of_the_streams_that_it_missed() {
+    let mut control = registered_gateway();
+    let copies = |effects: Vec<Effect>| {
+        let copies = effects.into_iter().filter_map(|effect| match effect {
+            Effect::CopyStreams { to, since } => Some((to, since)),
+            _ => None,
+        });
+        copies.collect::<Vec<_>>()
+    };
+    let heard = |number| from_peer(1, number, Message::Limits(Vec::new()));
+    let tick = || Event::Tick(Vec::new());
+    control.reduce(Millis(2_000), heard(1));
+    assert_eq!(copies(control.reduce(Millis(2_010), tick())), []);
+    assert_eq!(copies(control.reduce(Millis(6_000), tick())), []);
+    control.reduce(Millis(9_000), heard(2));
+    let told = copies(control.reduce(Millis(9_010), tick()));
+    assert_eq!(told, [(gateway(1), Millis(1_000))]);
+    assert_eq!(copies(control.reduce(Millis(9_060), tick())), [], "once");
+}
--- a/tests/direct_streams.rs
+++ b/tests/direct_streams.rs
@@ -91,7 +91,7 @@
             if !self.gateways[other].members.put(member.clone()) {
                 continue;
             }
-            let mut records = self.gateways[other].streams.all();
+            let mut records = self.gateways[other].streams.used_since(Millis::ZERO);
             let members = &self.gateways[other].members;
             records.retain(|r| members.keeps_record(&member.name, r.id));
             if !records.is_empty() && !self.is_lost() {
