Whether this gateway's knowledge is current is looked at with ticks, not with each event

Suspected cause: the control thread looked at all other gateways after each event, which costs processor time that grows with their number. Change: with ticks, renewals and failed calls of the store only. Not measured when this was committed. stale_versions.rs and versions.rs are green.

--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -100,10 +100,18 @@
         while let Some(Queued { event, sent_at }) = queue.next().await {
             let kind = event.name();
             let began = self.shared.now();
+            // Not with each event: it looks at all other gateways.
+            let is_contact_due = matches!(
+                event,
+                Event::Tick(_) | Event::LeaseHeld(_) | Event::StoreLost
+            );
             let effects = control.reduce(began, event);
             relay_progress.set(control.relay_progress());
             pace.set(control.pauses());
-            self.shared.set_current_until(control.current_until(began));
+            if is_contact_due {
+                let until = control.current_until(began);
+                self.shared.set_current_until(until);
+            }
             store.log_if_due(began);
             for effect in effects {
                 self.carry_out(&mut control, &calls, effect);
