Endpoint stand-in: literal bodies, shifted continuations, cut heads, other answers to repeats

Answers that are no continuation of a stream could not be played. An answer may now state its content type (or none), a literal body, events that a continuation leaves out or repeats, the byte of its head at which it breaks off or pauses, and another answer for a request that an endpoint of the service was sent before. What answers did without these is unchanged.

--- a/standins/src/bin/standin-endpoint/main.rs
+++ b/standins/src/bin/standin-endpoint/main.rs
@@ -53,6 +53,7 @@
             downtime: Millis(value(&args, "downtime-ms", 2_000)),
             ..Lifecycle::default()
         },
+        ..EndpointSetup::default()
     };
     let crashing: String = value(&args, "crashing-parts", String::new());
     let crashing = crashing.split(',').filter(|id| !id.is_empty());
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod life;
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -94,6 +95,8 @@
     pub version: String,
     /// When its process ends, and how it comes back.
     pub lifecycle: Lifecycle,
+    /// Identifiers of the requests that the service's endpoints were sent.
+    pub sent_requests: Arc<Mutex<BTreeSet<String>>>,
 }
 
 /// A running endpoint. It serves until the process ends.
@@ -140,6 +143,14 @@
         forced.or(named).unwrap_or_else(|| self.answer().clone())
     }
 
+    /// Records a request, and returns whether the service's endpoints were sent it before.
+    fn is_repeated(&self, id: Option<&str>) -> bool {
+        let Some(id) = id else {
+            return false;
+        };
+        !lock(&self.setup.sent_requests).insert(id.to_owned())
+    }
+
     fn current_life(&self) -> MutexGuard<'_, Option<Arc<Life>>> {
         lock(&self.life)
     }
--- a/standins/src/endpoint/answer.rs
+++ b/standins/src/endpoint/answer.rs
@@ -86,6 +86,18 @@
     pub leftover_bytes: usize,
     /// What is sent before the answer, such as an earlier one once more.
     pub stray: Option<String>,
+    /// The type of the body, empty for none; by default as the body is.
+    pub content_type: Option<String>,
+    /// A literal body in place of events.
+    pub body: Option<String>,
+    /// Events that a continuation leaves out, or repeats if negative.
+    pub skipped_events: i64,
+    /// Bytes of the head after which it breaks off or pauses; by default half of it.
+    pub head_bytes: Option<usize>,
+    /// Pause within the head, in milliseconds.
+    pub head_pause_ms: u64,
+    /// The answer if the service's endpoints were sent this request before.
+    pub repeated: Option<Box<Answer>>,
 }
 
 impl Default for Answer {
@@ -102,11 +114,39 @@
             pause_ms: 0,
             leftover_bytes: 0,
             stray: None,
+            content_type: None,
+            body: None,
+            skipped_events: 0,
+            head_bytes: None,
+            head_pause_ms: 0,
+            repeated: None,
         }
     }
 }
 
 impl Answer {
+    /// The event after which a continuation begins.
+    pub(super) fn begins_after(&self, last_event_id: u64) -> u64 {
+        last_event_id.saturating_add_signed(self.skipped_events)
+    }
+
+    /// The type of the body; `None` if none is stated.
+    pub(super) fn content_type(&self) -> Option<&str> {
+        let by_default = match (&self.body, self.events) {
+            (Some(_), _) => "text/plain",
+            (None, 0) => "application/octet-stream",
+            (None, _) => "text/event-stream",
+        };
+        let stated = self.content_type.as_deref().unwrap_or(by_default);
+        Some(stated).filter(|stated| !stated.is_empty())
+    }
+
+    /// The parts of the head before and after the place where it breaks off or pauses.
+    pub(super) fn split_head<'a>(&self, head: &'a str) -> (&'a [u8], &'a [u8]) {
+        let at = self.head_bytes.unwrap_or(head.len() / 2);
+        head.as_bytes().split_at(at.min(head.len()))
+    }
+
     /// The event with this number, as a software version writes it.
     pub(super) fn event(version: &str, number: u64) -> Vec<u8> {
         format!("id: {number}\ndata: {version}:{number}\n\n").into_bytes()
@@ -114,9 +154,10 @@
 
     /// The pieces of the whole body after the event that the request names.
     pub(super) fn pieces(&self, version: &str, after: u64) -> Vec<Vec<u8>> {
-        match self.events {
-            0 => vec![vec![b'x'; self.body_bytes]],
-            events => (after + 1..=events)
+        match (&self.body, self.events) {
+            (Some(body), _) => vec![body.clone().into_bytes()],
+            (None, 0) => vec![vec![b'x'; self.body_bytes]],
+            (None, events) => (after + 1..=events)
                 .map(|number| Self::event(version, number))
                 .collect(),
         }
@@ -126,7 +167,8 @@
     pub(super) fn sent_pieces(&self, version: &str, after: u64) -> Vec<Vec<u8>> {
         let mut pieces = self.pieces(version, after);
         let half = |piece: &Vec<u8>| piece[..piece.len() / 2].to_vec();
-        match (self.place, self.events) {
+        let events = if self.body.is_some() { 0 } else { self.events };
+        match (self.place, events) {
             (Place::Complete, _) => pieces,
             (Place::Head | Place::BeforeFirstEvent, _) => Vec::new(),
             (Place::WithinEvent | Place::BetweenEvents, 0) => {
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -222,19 +222,26 @@
         let named = req.header(ANSWER_HEADER);
         let named = named.and_then(|text| serde_json::from_str(text).ok());
         let mut answer = self.shared.answer_to(named);
+        if self
+            .shared
+            .is_repeated(req.header(&self.shared.setup.lifecycle.id_header))
+            && let Some(repeated) = answer.repeated.take()
+        {
+            answer = *repeated;
+        }
         let shape = *lock(&self.shared.crash_shape);
         let shape = shape.filter(|_| crashing_part.is_some());
         if let Some((_, framing)) = shape {
             answer.framing = framing;
         }
         let after = req.header("last-event-id").and_then(|id| id.parse().ok());
-        let after = after.unwrap_or(0);
+        let after = after.map_or(0, |id| answer.begins_after(id));
         let head = self.head(req, &answer, after);
         if let Some(stray) = &answer.stray {
             self.write(stray.as_bytes())?;
         }
         if answer.place == Place::Head {
-            self.write(&head.as_bytes()[..head.len() / 2])?;
+            self.write(answer.split_head(&head).0)?;
             return self.end(&answer);
         }
         if answer.overflow == Some(Overflow::Head) {
@@ -243,7 +250,7 @@
             return self.overflow(&answer, Overflow::Head, after);
         }
         self.set_answered(number, answer.status);
-        self.write(head.as_bytes())?;
+        self.write_head(&answer, &head)?;
         if let Some(part) = crashing_part {
             let lifecycle = &self.shared.setup.lifecycle;
             std::thread::sleep(lifecycle.crash_delay.as_duration());
@@ -287,11 +294,9 @@
             let value = req.header(name).unwrap_or_default();
             head += &format!("{name}: {value}\r\n");
         }
-        let content_type = match answer.events {
-            0 => "application/octet-stream",
-            _ => "text/event-stream",
-        };
-        head += &format!("Content-Type: {content_type}\r\n");
+        if let Some(content_type) = answer.content_type() {
+            head += &format!("Content-Type: {content_type}\r\n");
+        }
         let pieces = answer.pieces(&setup.version, after);
         let length: usize = pieces.iter().map(Vec::len).sum();
         match answer.framing {
@@ -314,6 +319,16 @@
         Ok(())
     }
 
+    fn write_head(&mut self, answer: &Answer, head: &str) -> io::Result<()> {
+        if answer.head_pause_ms == 0 {
+            return self.write(head.as_bytes());
+        }
+        let (beginning, rest) = answer.split_head(head);
+        self.write(beginning)?;
+        self.life.pause(self.number, Millis(answer.head_pause_ms));
+        self.write(rest)
+    }
+
     fn write_piece(&mut self, answer: &Answer, piece: &[u8]) -> io::Result<()> {
         if answer.framing != Framing::Chunked {
             return self.write(piece);
