Log which events an endpoint brought to a stream, and where each part ended

request.body_ended now has endpoint, software, first_event, last_event and events for each part of a stream that may be resumed, and is written for every part. Events are found by their lines, with any line end, in place of a search for the last identifier.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -1,6 +1,7 @@
 //! Response bodies sent to callers, and endpoints' response bodies.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -11,9 +12,11 @@
 use super::caller_stream::ConnectionEnd;
 use super::connection::Connection;
 use super::crash_watch::{Verdict, WatchedRun};
+use super::dialect::Registration;
 use super::fleet::InFlight;
 use super::framing::{BodyProgress, Framing};
 use super::job::Job;
+use super::resume::EventTracker;
 use crate::clock::Millis;
 
 /// The response ended early. hyper then closes the caller's connection, so that
@@ -130,6 +133,8 @@
     /// The connection that it arrives on. Dropping it makes the endpoint stop its
     /// work.
     pub connection: Connection,
+    /// The endpoint.
+    pub endpoint: Arc<Registration>,
     /// Counts the request at its endpoint.
     pub in_flight: InFlight,
     /// Whether the connection may be reused once the body has been read.
@@ -173,11 +178,20 @@
         self.run.as_mut()?.record_end(&self.progress)
     }
 
-    /// Logs how the body ended: with an error, or without one at its end.
-    pub fn log_end(&self, job: &Job, error: &str) {
+    /// Logs how the body ended, with an error or without one, and which events of a tracked
+    /// stream it brought.
+    pub fn log_end(&self, job: &Job, tracker: Option<&EventTracker>, error: &str) {
+        let part = tracker.map(EventTracker::part).filter(|p| p.events > 0);
+        let first_id = part.and_then(|part| part.first_id.as_deref());
+        let last_id = part.and_then(|_| tracker?.last_event_id());
         job.log(
             "request.body_ended",
             &[
+                ("endpoint", (&self.endpoint.id).into()),
+                ("software", (&self.endpoint.version).into()),
+                ("first_event", first_id.unwrap_or_default().into()),
+                ("last_event", last_id.map_or("", |id| id).into()),
+                ("events", part.map_or(0, |part| part.events).into()),
                 ("framing", self.progress.framing().as_str().into()),
                 ("bytes", self.progress.bytes().into()),
                 ("max_gap_ms", self.in_flight.max_gap().into()),
--- a/src/direct/buffers.rs
+++ b/src/direct/buffers.rs
@@ -122,7 +122,7 @@
         (None, BodyEnd::Broken(why)) => Some(why.to_owned()),
         (error, _) => error,
     };
-    upstream_body.log_end(job, error.as_deref().unwrap_or_default());
+    upstream_body.log_end(job, None, error.as_deref().unwrap_or_default());
     if error.is_some() {
         let verdict = upstream_body.record_break();
         upstream_body
--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -241,6 +241,7 @@
         Attempt::Answered(Box::new(res.map(|body| UpstreamBody {
             body,
             connection,
+            endpoint,
             in_flight,
             is_reusable,
             progress,
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -147,6 +147,9 @@
     fn attach(&mut self, upstream_body: UpstreamBody) {
         let left = self.job.time_left(self.forwarder.shared.now());
         let watchdog = Watchdog::start(left, &upstream_body);
+        if let Some(tracker) = &mut self.tracker {
+            tracker.begin_part();
+        }
         self.upstream = Some((upstream_body, watchdog));
     }
 
@@ -207,6 +210,7 @@
     /// for which the caller's copy cannot end there.
     fn upstream_ended(&mut self) -> String {
         if let Some((upstream_body, _)) = &mut self.upstream {
+            upstream_body.log_end(&self.job, self.tracker.as_ref(), UNKNOWN_END);
             self.history.verdict = upstream_body.record_end();
         }
         UNKNOWN_END.to_owned()
@@ -215,7 +219,7 @@
     /// Records that the endpoint's body is of no use, and returns the reason.
     fn upstream_failed(&mut self, why: &str) -> String {
         if let Some((upstream_body, _)) = &self.upstream {
-            upstream_body.log_end(&self.job, why);
+            upstream_body.log_end(&self.job, self.tracker.as_ref(), why);
         }
         self.record_failure();
         why.to_owned()
@@ -356,7 +360,7 @@
     fn finish(&mut self) {
         let now = self.forwarder.shared.now();
         if let Some((upstream_body, _)) = self.upstream.take() {
-            upstream_body.log_end(&self.job, "");
+            upstream_body.log_end(&self.job, self.tracker.as_ref(), "");
             let targets = StreamTargets {
                 first_event: self.job.target,
                 gap: self.job.event_gap_target,
@@ -370,7 +374,9 @@
 
     /// Ends the response with an error, so that it does not look complete.
     fn truncate(&mut self, reason: &str) -> Option<Result<Bytes, TruncatedBody>> {
-        self.upstream = None;
+        if let Some((upstream_body, _)) = self.upstream.take() {
+            upstream_body.log_end(&self.job, self.tracker.as_ref(), reason);
+        }
         self.job.log("request.cut", &[("why", reason.into())]);
         log_response_end(
             &self.forwarder,
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -23,6 +23,16 @@
     pending: BytesMut,
     boundary: EventBoundary,
     last_event_id: Option<CompactString>,
+    part: Part,
+}
+
+/// The events that one endpoint wrote.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Part {
+    /// The identifier of the first one.
+    pub first_id: Option<CompactString>,
+    /// Their number.
+    pub events: u64,
 }
 
 /// An event is larger than any event that engines send.
@@ -34,9 +44,8 @@
     /// Creates a tracker of a stream that continues after the given event.
     pub fn after(last_event_id: Option<CompactString>) -> Self {
         Self {
-            pending: BytesMut::new(),
-            boundary: EventBoundary::default(),
             last_event_id,
+            ..Self::default()
         }
     }
 
@@ -45,6 +54,11 @@
         self.last_event_id.as_ref()
     }
 
+    /// What the present endpoint wrote.
+    pub fn part(&self) -> &Part {
+        &self.part
+    }
+
     /// Whether bytes of an incomplete event are held back.
     pub fn has_pending(&self) -> bool {
         !self.pending.is_empty()
@@ -68,22 +82,53 @@
         self.pending.extend_from_slice(complete);
         let events = self.pending.split().freeze();
         self.pending.extend_from_slice(open);
-        if let Some(id) = last_id(&events) {
-            self.last_event_id = Some(id);
-        }
+        self.advance(&events);
         Ok(events)
     }
 
+    /// Moves on by complete events.
+    fn advance(&mut self, events: &[u8]) {
+        let mut has_field = false;
+        let mut id = None;
+        for line in lines(events) {
+            if !line.is_empty() {
+                // A line that begins with a colon is a comment.
+                has_field |= !line.starts_with(b":");
+                if let Some(value) = line.strip_prefix(b"id:") {
+                    id = std::str::from_utf8(value.trim_ascii()).ok();
+                }
+                continue;
+            }
+            if std::mem::take(&mut has_field) {
+                let id = id.take().map(CompactString::from);
+                if self.part.events == 0 {
+                    self.part.first_id.clone_from(&id);
+                }
+                self.part.events += 1;
+                self.last_event_id = id.or(self.last_event_id.take());
+            }
+        }
+    }
+
     /// Discards the incomplete event of an endpoint whose stream broke off.
     pub fn drop_pending(&mut self) {
         self.pending.clear();
         self.boundary = EventBoundary::default();
     }
+
+    /// Begins the part of another endpoint.
+    pub fn begin_part(&mut self) {
+        self.part = Part::default();
+    }
 }
 
-fn last_id(events: &[u8]) -> Option<CompactString> {
-    let mut lines = events.split(|b| *b == b'\n').rev();
-    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let id = std::str::from_utf8(line.trim_ascii()).ok()?;
-    Some(id.into())
+/// Lines without their ends, which are LF, CR LF or CR.
+fn lines(mut rest: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let at = rest.iter().position(|b| matches!(b, b'\n' | b'\r'))?;
+        let is_pair = rest[at..].starts_with(b"\r\n");
+        let line = &rest[..at];
+        rest = &rest[at + 1 + usize::from(is_pair)..];
+        Some(line)
+    })
 }
