Only what goes on with the next event is joined to a stream

Callers of a resumable stream that broke off got, in the middle of their stream, the text of an answer that was no stream, a whole response head, events once more or after a gap; or their stream ended as complete. The same in answer to a later try with Resumes and Last-Event-Id.

Cause: StreamRelay::resume attached any response with a success status, and the events of a part were passed on whatever their numbers. A body that is no stream of events has no open event, so that its end counted as the end of the stream. A caller's later try was relayed without a look at either. The class: a message that is joined to another because it came where that one was expected.

One rule for each way of sending, a pure module (direct/resume): the head has status 200, the content type of a stream of events and no content coding (joining); each event has a number above the last one and, where parts join, the next one (numbering). What doesn't fit is not passed on: the stream goes on at another endpoint within the attempts and the retry budget, or breaks off; a caller that has nothing yet gets 502 with the new code 4007. A stream whose last event has no identifier isn't resumed, as another endpoint would repeat that event. rattanstall_streams_continuations counts joined and rejected answers.

--- a/src/code.rs
+++ b/src/code.rs
@@ -126,6 +126,8 @@
     CrossedAnswer = 4005, BAD_GATEWAY, "answer_cut", "the endpoint answered a different request";
     /// The route's timeout passed before the response was complete.
     TimedOut = 4006, GATEWAY_TIMEOUT, "timeout", "the request may have run; its time is over";
+    /// The endpoint's response does not go on with the stream.
+    NoContinuation = 4007, BAD_GATEWAY, "answer_cut", "the endpoint's answer does not go on with the stream";
     /// An invariant of the program does not hold.
     InvariantBroken = 5001, INTERNAL_SERVER_ERROR, "internal_error", "an invariant of the program does not hold";
     /// The settings or the configuration are not valid.
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -22,6 +22,7 @@
 use super::job::Job;
 use super::refusal::Refusal;
 use super::resume::ResumePoint;
+use super::resume::numbering::UsualSteps;
 use super::retry_budget::RetryBudget;
 use super::shared::Shared;
 use crate::clock::Millis;
@@ -59,6 +60,8 @@
     pub fleet: FleetCell,
     /// Bounds the bytes of responses that are held back.
     pub buffers: BufferBudget,
+    /// How the numbers of services' streams rise.
+    pub usual_steps: RefCell<UsualSteps>,
     crash_watch: Rc<CrashWatch>,
     budgets: RefCell<Vec<(CompactString, RetryBudget)>>,
     targets: RefCell<Targets>,
@@ -92,6 +95,7 @@
             shared,
             fleet: FleetCell::default(),
             buffers: BufferBudget::default(),
+            usual_steps: RefCell::default(),
             budgets: RefCell::default(),
             targets: RefCell::default(),
             refused: RefCell::default(),
--- a/src/direct/job.rs
+++ b/src/direct/job.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::{HeaderMap, Method, Request, Response, Uri, Version, header};
+use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use http_body_util::Full;
 
 use super::admission::urgency::Urgency;
@@ -12,6 +12,7 @@
 use super::intake::holders::RequestHold;
 use super::refusal::{Refusal, refuse_blocked_part};
 use super::request::{ForwardMetadata, RequestMetadata};
+use super::resume::joining::is_event_stream;
 use super::shared::{CountedDemand, Shared};
 use super::view::{Load, model_hash};
 use crate::clock::Millis;
@@ -102,10 +103,8 @@
     /// Whether a response is a stream of events: by its content type or, if it has none,
     /// by the route.
     pub fn is_event_stream<B>(&self, res: &Response<B>) -> bool {
-        match res.headers().get(header::CONTENT_TYPE) {
-            Some(value) => value.as_bytes().starts_with(b"text/event-stream"),
-            None => self.kind.is_stream() && res.status().is_success(),
-        }
+        let by_route = self.kind.is_stream() && res.status().is_success();
+        is_event_stream(res.headers()).unwrap_or(by_route)
     }
 
     /// The load that the request puts on an endpoint.
--- a/src/direct/refusal.rs
+++ b/src/direct/refusal.rs
@@ -40,9 +40,11 @@
     /// Whether the request may have run.
     pub fn ran(&self) -> Ran {
         match self.code {
-            Code::OutcomeUnknown | Code::AnswerCut | Code::CrossedAnswer | Code::TimedOut => {
-                Ran::Unknown
-            }
+            Code::OutcomeUnknown
+            | Code::AnswerCut
+            | Code::CrossedAnswer
+            | Code::TimedOut
+            | Code::NoContinuation => Ran::Unknown,
             _ => Ran::No,
         }
     }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -19,6 +19,7 @@
 use super::origin::find_resume_point;
 use super::quota::Charge;
 use super::refusal::Refusal;
+use super::resume::joining::{NoContinuation, check_head};
 use crate::code::{Code, Ran};
 
 use streaming::{relay_rest, relay_stream};
@@ -58,13 +59,22 @@
             }
         };
         if job.kind.is_stream() && upstream.status().is_success() {
-            return Ok(relay_stream(
-                forwarder,
-                job,
-                upstream,
-                history,
-                resume.version,
-            ));
+            let checked = match resume.version {
+                Some(_) => check_head(upstream.status(), upstream.headers()),
+                None => Ok(()),
+            };
+            let Err(mismatch) = checked else {
+                let version = resume.version;
+                if version.is_some() {
+                    forwarder.shared.metrics.count_continuation("joined");
+                }
+                return Ok(relay_stream(forwarder, job, upstream, history, version));
+            };
+            reject_continuation(&forwarder, &job, upstream, mismatch);
+            if !forwarder.may_retry(&job, &mut history).await {
+                return Err(Refusal::new(Code::NoContinuation));
+            }
+            continue;
         }
         match buffer_response(&forwarder, &job, upstream).await {
             Buffered::Ended(res) => return Ok(res),
@@ -83,6 +93,25 @@
     }
 }
 
+/// Records that a response to a request for the rest of a stream is not joined to it, and
+/// closes its connection.
+fn reject_continuation(
+    forwarder: &Forwarder,
+    job: &Job,
+    upstream: UpstreamResponse,
+    mismatch: NoContinuation,
+) {
+    let shared = &forwarder.shared;
+    shared.metrics.count_continuation(mismatch.as_str());
+    let (parts, upstream_body) = upstream.into_parts();
+    upstream_body.log_end(job, None, &mismatch.to_string());
+    if parts.status.is_success() {
+        let now = shared.now();
+        let in_flight = &upstream_body.in_flight;
+        in_flight.update_endpoint(|endpoint| endpoint.record_failure(now));
+    }
+}
+
 enum Buffered {
     Ended(Response<ResponseBody>),
     TooLong(Bytes, Box<UpstreamResponse>),
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -8,7 +8,7 @@
 use http::{Response, StatusCode, header, response};
 
 use super::watchdog::Watchdog;
-use super::{log_response_end, remove_hop_by_hop_headers};
+use super::{log_response_end, reject_continuation, remove_hop_by_hop_headers};
 use crate::clock::Millis;
 use crate::code::Code;
 use crate::direct::answer::{ResponseBody, TruncatedBody, UpstreamBody};
@@ -19,7 +19,8 @@
 use crate::direct::forward::{AttemptHistory, Forwarder, UpstreamResponse};
 use crate::direct::framing::{BodyEnd, Framing};
 use crate::direct::job::Job;
-use crate::direct::resume::{EventTooLarge, EventTracker, ResumePoint};
+use crate::direct::resume::joining::check_head;
+use crate::direct::resume::{EventFault, EventTracker, ResumePoint};
 use crate::direct::shared::OpenRequest;
 use crate::direct::streams::{StreamId, StreamRecord};
 
@@ -34,6 +35,18 @@
 /// Reason for which a copy with chunks does not end with a body of unknown end.
 const UNKNOWN_END: &str = "its end is unknown";
 
+/// What an endpoint's part of a stream brings next.
+enum PartProgress {
+    /// Bytes for the caller; none while an event is not complete.
+    Events(Bytes),
+    /// The stream is complete.
+    Finished,
+    /// The request's time is over.
+    TimedOut,
+    /// The part is of no use from here on, for this reason.
+    Failed(String),
+}
+
 struct StreamRelay {
     forwarder: Rc<Forwarder>,
     job: Job,
@@ -75,7 +88,9 @@
     };
     let is_resumable = job.kind == RouteKind::Stream { is_resumable: true };
     let is_tracked = is_resumable && upstream_body.progress.is_event_stream();
-    let tracker = is_tracked.then(|| EventTracker::after(job.metadata.last_event_id.clone()));
+    let usual = forwarder.usual_steps.borrow().get(&job.service);
+    let tracker =
+        is_tracked.then(|| EventTracker::after(job.metadata.last_event_id.clone(), usual));
     let relay = StreamRelay {
         tracker,
         version,
@@ -158,27 +173,15 @@
             return Some(Ok(beginning));
         }
         loop {
-            let (upstream_body, watchdog) = self.upstream.as_mut()?;
-            let chunk = upstream_body.next_chunk().await;
-            // The body of a connection that was closed here has no error.
-            if watchdog.has_fired() {
-                return self.truncate("timed out");
-            }
-            let why = match chunk {
-                Some(Ok(chunk)) => match self.forward_chunk(chunk) {
-                    Ok(chunk) if chunk.is_empty() => continue,
-                    Ok(chunk) => return Some(Ok(chunk)),
-                    Err(error) => self.upstream_failed(&error.to_string()),
-                },
-                Some(Err(error)) => self.upstream_broke(&error.to_string()),
-                None => match self.end_of_body() {
-                    EndOfCopy::Finished => {
-                        self.finish();
-                        return None;
-                    }
-                    EndOfCopy::Unknown => self.upstream_ended(),
-                    EndOfCopy::Broken(why) => self.upstream_broke(why),
-                },
+            let why = match self.read_part().await? {
+                PartProgress::Events(events) if events.is_empty() => continue,
+                PartProgress::Events(events) => return Some(Ok(events)),
+                PartProgress::Finished => {
+                    self.finish();
+                    return None;
+                }
+                PartProgress::TimedOut => return self.truncate("timed out"),
+                PartProgress::Failed(why) => why,
             };
             if !self.resume().await {
                 return self.truncate(&why);
@@ -186,6 +189,47 @@
         }
     }
 
+    /// Reads on in what the present endpoint sends.
+    async fn read_part(&mut self) -> Option<PartProgress> {
+        let fault = self.tracker.as_mut().and_then(EventTracker::take_fault);
+        if let Some(fault) = fault {
+            return Some(PartProgress::Failed(self.reject_events(fault)));
+        }
+        let (upstream_body, watchdog) = self.upstream.as_mut()?;
+        let chunk = upstream_body.next_chunk().await;
+        // The body of a connection that was closed here has no error.
+        if watchdog.has_fired() {
+            return Some(PartProgress::TimedOut);
+        }
+        Some(match chunk {
+            Some(Ok(chunk)) => match self.forward_chunk(chunk) {
+                Ok(events) => PartProgress::Events(events),
+                Err(fault) => PartProgress::Failed(self.reject_events(fault)),
+            },
+            Some(Err(error)) => PartProgress::Failed(self.upstream_broke(&error.to_string())),
+            None => match self.end_of_body() {
+                EndOfCopy::Finished => PartProgress::Finished,
+                EndOfCopy::Unknown => PartProgress::Failed(self.upstream_ended()),
+                EndOfCopy::Broken(why) => PartProgress::Failed(self.upstream_broke(why)),
+            },
+        })
+    }
+
+    /// Records that what the endpoint sends is not passed on, and returns the reason.
+    fn reject_events(&mut self, fault: EventFault) -> String {
+        let metrics = &self.forwarder.shared.metrics;
+        metrics.count_continuation(fault.as_str());
+        let why = fault.to_string();
+        // The position may be wrong if only the caller has named it.
+        if self.is_recorded || fault == EventFault::TooLarge {
+            return self.upstream_failed(&why);
+        }
+        if let Some((upstream_body, _)) = &self.upstream {
+            upstream_body.log_end(&self.job, self.tracker.as_ref(), &why);
+        }
+        why
+    }
+
     /// What it means for the caller's copy that the endpoint's body ended without an
     /// error. The copy must not claim more than is known.
     fn end_of_body(&self) -> EndOfCopy {
@@ -227,7 +271,7 @@
 
     /// Returns what is passed to the caller when a chunk has arrived. A resumable
     /// stream holds back an incomplete event.
-    fn forward_chunk(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLarge> {
+    fn forward_chunk(&mut self, chunk: Bytes) -> Result<Bytes, EventFault> {
         let now = self.forwarder.shared.now();
         if let Some((upstream_body, _)) = &mut self.upstream {
             if upstream_body.progress.has_advanced() {
@@ -242,7 +286,7 @@
                 upstream_body.in_flight.event_received(now);
             }
             if upstream_body.progress.is_event_too_large() {
-                return Err(EventTooLarge);
+                return Err(EventFault::TooLarge);
             }
         }
         if !self.has_started {
@@ -254,7 +298,7 @@
         };
         let events = tracker.push(&chunk)?;
         if !self.held.resize(tracker.pending_bytes()) {
-            return Err(EventTooLarge);
+            return Err(EventFault::TooLarge);
         }
         if !events.is_empty() {
             self.record_version(now);
@@ -315,36 +359,55 @@
     async fn resume(&mut self) -> bool {
         // Closing the connection makes the endpoint stop before another one starts.
         self.upstream = None;
-        let Some(tracker) = &mut self.tracker else {
+        let Some(resume) = self.resume_point() else {
             return false;
         };
+        while self.may_retry().await {
+            self.job.log(
+                "request.resumed",
+                &[
+                    (
+                        "after_event",
+                        resume.last_event_id.as_deref().unwrap_or("").into(),
+                    ),
+                    ("software", resume.version.as_deref().unwrap_or("").into()),
+                ],
+            );
+            let sent = self.forwarder.send(&self.job, &mut self.history, &resume);
+            let Ok(upstream) = sent.await else {
+                return false;
+            };
+            let is_failure = !upstream.status().is_success();
+            match check_head(upstream.status(), upstream.headers()) {
+                Ok(()) => {
+                    let metrics = &self.forwarder.shared.metrics;
+                    metrics.count_continuation("joined");
+                    self.attach(upstream.into_body());
+                    return true;
+                }
+                Err(mismatch) => {
+                    reject_continuation(&self.forwarder, &self.job, upstream, mismatch)
+                }
+            }
+            if is_failure {
+                return false;
+            }
+        }
+        false
+    }
+
+    /// Where the stream goes on; `None` if no other endpoint can be asked for the rest.
+    fn resume_point(&mut self) -> Option<ResumePoint> {
+        let tracker = self.tracker.as_mut()?;
         tracker.drop_pending();
-        let resume = ResumePoint {
+        let is_version_unknown = self.has_events && self.version.is_none();
+        if is_version_unknown || !tracker.numbering().is_resumable() {
+            return None;
+        }
+        Some(ResumePoint {
             last_event_id: tracker.last_event_id().cloned(),
             version: self.version.clone(),
-        };
-        let is_version_unknown = self.has_events && resume.version.is_none();
-        if is_version_unknown || !self.may_retry().await {
-            return false;
-        }
-        self.job.log(
-            "request.resumed",
-            &[
-                (
-                    "after_event",
-                    resume.last_event_id.as_deref().unwrap_or("").into(),
-                ),
-                ("software", resume.version.as_deref().unwrap_or("").into()),
-            ],
-        );
-        let sent = self.forwarder.send(&self.job, &mut self.history, &resume);
-        match sent.await {
-            Ok(upstream) if upstream.status().is_success() => {
-                self.attach(upstream.into_body());
-                true
-            }
-            Ok(_) | Err(_) => false,
-        }
+        })
     }
 
     async fn may_retry(&mut self) -> bool {
@@ -359,6 +422,11 @@
 
     fn finish(&mut self) {
         let now = self.forwarder.shared.now();
+        let step = self.tracker.as_ref().and_then(|t| t.numbering().step());
+        if let Some(step) = step {
+            let mut usual = self.forwarder.usual_steps.borrow_mut();
+            usual.record(&self.job.service, step);
+        }
         if let Some((upstream_body, _)) = self.upstream.take() {
             upstream_body.log_end(&self.job, self.tracker.as_ref(), "");
             let targets = StreamTargets {
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -1,9 +1,17 @@
-//! Tracks the events of a stream, so that another endpoint can resume it.
+//! Tracks the events of a stream, so that another endpoint can resume it, and decides what
+//! may be joined to it.
+//!
+//! Nothing here does I/O. Each way of sending a request for the rest of a stream asks
+//! [`joining`] about the head of the response, and [`EventTracker`] about its events.
+
+pub mod joining;
+pub mod numbering;
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 
 use super::framing::{EventBoundary, MAX_EVENT_BYTES};
+use numbering::{Numbering, OutOfTurn, Step};
 
 /// Where a stream goes on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,8 +30,10 @@
 pub struct EventTracker {
     pending: BytesMut,
     boundary: EventBoundary,
-    last_event_id: Option<CompactString>,
+    numbering: Numbering,
     part: Part,
+    /// Why the events that followed those passed on last were not.
+    fault: Option<EventFault>,
 }
 
 /// The events that one endpoint wrote.
@@ -35,23 +45,45 @@
     pub events: u64,
 }
 
-/// An event is larger than any event that engines send.
-#[derive(Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event has more than {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLarge;
+/// Why the events of an endpoint are not passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EventFault {
+    /// An event is larger than any event that engines send.
+    #[error("an event has more than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// An event does not follow the last one.
+    #[error("{0}")]
+    OutOfTurn(#[from] OutOfTurn),
+}
+
+impl EventFault {
+    /// The name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::TooLarge => "too_large",
+            Self::OutOfTurn(fault) => fault.as_str(),
+        }
+    }
+}
 
 impl EventTracker {
-    /// Creates a tracker of a stream that continues after the given event.
-    pub fn after(last_event_id: Option<CompactString>) -> Self {
+    /// Creates a tracker of a stream that continues after the given event, and whose numbers
+    /// usually rise by the given step.
+    pub fn after(last_event_id: Option<CompactString>, usual: Step) -> Self {
         Self {
-            last_event_id,
+            numbering: Numbering::after(last_event_id, usual),
             ..Self::default()
         }
     }
 
     /// The identifier of the last event that was passed on.
     pub fn last_event_id(&self) -> Option<&CompactString> {
-        self.last_event_id.as_ref()
+        self.numbering.last_id()
+    }
+
+    /// The position after the last event that was passed on.
+    pub fn numbering(&self) -> &Numbering {
+        &self.numbering
     }
 
     /// What the present endpoint wrote.
@@ -69,28 +101,41 @@
         self.pending.len()
     }
 
-    /// Adds a chunk of the stream and returns the events that are now complete.
-    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventTooLarge> {
+    /// Adds a chunk of the stream and returns the events that are now complete. Those before
+    /// an event that is out of turn are returned; [`Self::take_fault`] then tells of it.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventFault> {
         let Some(end) = self.boundary.push(chunk) else {
             if self.boundary.open_bytes() > MAX_EVENT_BYTES {
-                return Err(EventTooLarge);
+                return Err(EventFault::TooLarge);
             }
             self.pending.extend_from_slice(chunk);
             return Ok(Bytes::new());
         };
         let (complete, open) = chunk.split_at(end);
         self.pending.extend_from_slice(complete);
-        let events = self.pending.split().freeze();
+        let mut events = self.pending.split().freeze();
         self.pending.extend_from_slice(open);
-        self.advance(&events);
+        if let Err((kept, fault)) = self.advance(&events) {
+            events.truncate(kept);
+            if events.is_empty() {
+                return Err(fault.into());
+            }
+            self.fault = Some(fault.into());
+        }
         Ok(events)
     }
 
-    /// Moves on by complete events.
-    fn advance(&mut self, events: &[u8]) {
+    /// Why the stream does not go on after the events that were returned last.
+    pub fn take_fault(&mut self) -> Option<EventFault> {
+        self.fault.take()
+    }
+
+    /// Moves on by complete events. The error has the bytes before the one that is out of turn.
+    fn advance(&mut self, events: &[u8]) -> Result<(), (usize, OutOfTurn)> {
+        let mut kept = 0;
         let mut has_field = false;
         let mut id = None;
-        for line in lines(events) {
+        for (line, end) in lines(events) {
             if !line.is_empty() {
                 // A line that begins with a colon is a comment.
                 has_field |= !line.starts_with(b":");
@@ -100,35 +145,42 @@
                 continue;
             }
             if std::mem::take(&mut has_field) {
-                let id = id.take().map(CompactString::from);
+                let id = id.take();
+                self.numbering.advance(id).map_err(|fault| (kept, fault))?;
                 if self.part.events == 0 {
-                    self.part.first_id.clone_from(&id);
+                    self.part.first_id = id.map(CompactString::from);
                 }
                 self.part.events += 1;
-                self.last_event_id = id.or(self.last_event_id.take());
             }
+            kept = end;
         }
+        Ok(())
     }
 
     /// Discards the incomplete event of an endpoint whose stream broke off.
     pub fn drop_pending(&mut self) {
         self.pending.clear();
         self.boundary = EventBoundary::default();
+        self.fault = None;
     }
 
     /// Begins the part of another endpoint.
     pub fn begin_part(&mut self) {
+        self.numbering.begin_part();
         self.part = Part::default();
     }
 }
 
-/// Lines without their ends, which are LF, CR LF or CR.
-fn lines(mut rest: &[u8]) -> impl Iterator<Item = &[u8]> {
+/// Lines without their ends, each with the offset behind its end. Lines end with LF, CR LF or
+/// CR.
+fn lines(mut rest: &[u8]) -> impl Iterator<Item = (&[u8], usize)> {
+    let mut offset = 0;
     std::iter::from_fn(move || {
         let at = rest.iter().position(|b| matches!(b, b'\n' | b'\r'))?;
         let is_pair = rest[at..].starts_with(b"\r\n");
-        let line = &rest[..at];
-        rest = &rest[at + 1 + usize::from(is_pair)..];
-        Some(line)
+        let (line, after) = (&rest[..at], at + 1 + usize::from(is_pair));
+        rest = &rest[after..];
+        offset += after;
+        Some((line, offset))
     })
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,7 @@
     waiting_requests: Gauge<u64>,
     slowest_endpoint: Gauge<f64>,
     store_calls: Counter<u64>,
+    continuations: Counter<u64>,
 }
 
 impl Metrics {
@@ -115,6 +116,10 @@
                 .u64_counter("rattanstall.store.calls")
                 .with_description("Calls of the store by kind and whether they succeeded")
                 .build(),
+            continuations: meter
+                .u64_counter("rattanstall.streams.continuations")
+                .with_description("Answers to requests for the rest of a stream, by whether or why not they were joined to it")
+                .build(),
             callers_bytes: meter
                 .u64_gauge("rattanstall.callers.bytes")
                 .with_description("Memory that callers' connections hold, by what they do")
@@ -221,6 +226,12 @@
         self.slowest_endpoint.record(ratio, &[]);
     }
 
+    /// Counts the answer to a request for the rest of a stream: `joined`, or why it was not.
+    pub fn count_continuation(&self, outcome: &'static str) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.continuations.add(1, &[outcome]);
+    }
+
     /// Counts a call of the store.
     pub fn count_store_call(&self, kind: &'static str, is_answered: bool) {
         let labels = [
