A stream that is taken up goes on at the service that began it

On a route that is split over services, callers that took a stream up got its rest from another service, joined to the events of the first: 6 of 12 streams at equal weights, at the gateway that began it and at another one.

Cause: the service was chosen by a hash of each attempt's own identifier. It is now that of the attempt that began the stream, which callers name; the answer is the same at every gateway, as long as the weights are. After a change of the weights or of the route a stream may go on elsewhere, as the operator's rules require the new configuration then.

--- a/src/direct/front.rs
+++ b/src/direct/front.rs
@@ -230,7 +230,8 @@
         let route = find_route(&document, &req)?;
         let workspace = admit(&document, route, &metadata)?;
         let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
-        let service = route.service(hash_of(&metadata.id)).cloned();
+        // A stream that is taken up goes on at the service that began it.
+        let service = route.service(hash_of(metadata.first_attempt())).cloned();
         let request_timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
         let (parts, body) = req.into_parts();
         hold.resize(head_cost(&parts.uri, &parts.headers))?;
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -67,6 +67,11 @@
         self.cost(0)
     }
 
+    /// The attempt that began the stream, which is this one unless its caller takes one up.
+    pub fn first_attempt(&self) -> &CompactString {
+        self.resumes.as_ref().unwrap_or(&self.id)
+    }
+
     /// Identifies the session by the last part of the prompt.
     pub fn session(&self) -> Option<u64> {
         self.parts.last().map(|part| part.id)
