The endpoint stand-in sends answers byte by byte and copies late

Cause: late second answers, cut chunks and split packets could be played only by a fixed text before an answer or bytes right behind it.

Change: an answer may be a script of texts with pauses, have late pieces that arrive while the connection takes further requests (never within another answer, nor after the connection's end), packets of a limited size, and other answers for requests that go on after an event.

--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -14,7 +14,7 @@
 use rattanstall::clock::Millis;
 use serde::{Deserialize, Serialize};
 
-pub use answer::{Answer, Ending, Framing, Overflow, Place};
+pub use answer::{Answer, Ending, Framing, Overflow, Piece, Place};
 pub use life::{EndCause, LifeRecord, Lifecycle};
 
 /// The path that sets the answer to requests that name none (`PUT`).
--- a/standins/src/endpoint/answer.rs
+++ b/standins/src/endpoint/answer.rs
@@ -60,6 +60,24 @@
     Events,
 }
 
+/// Bytes that are sent as they are, after a pause.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Piece {
+    /// The pause before it, in milliseconds.
+    pub pause_ms: u64,
+    /// The bytes.
+    pub text: String,
+}
+
+impl Piece {
+    /// Bytes that are sent this long after those before.
+    pub fn after(pause_ms: u64, text: impl Into<String>) -> Self {
+        let text = text.into();
+        Self { pause_ms, text }
+    }
+}
+
 /// How the endpoint answers a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -86,6 +104,17 @@
     pub leftover_bytes: usize,
     /// What is sent before the answer, such as an earlier one once more.
     pub stray: Option<String>,
+    /// Sent in place of head and body, if there are any. The place tells whether the
+    /// connection is kept.
+    pub script: Vec<Piece>,
+    /// Sent behind the answer while the connection takes further requests, but not within
+    /// another answer.
+    pub late: Vec<Piece>,
+    /// The most bytes of one packet; 0 for no limit.
+    pub packet_bytes: usize,
+    /// Answers to requests that go on after the first event, the second and so on; this
+    /// one is used beyond them.
+    pub continuations: Vec<Answer>,
 }
 
 impl Default for Answer {
@@ -102,6 +131,10 @@
             pause_ms: 0,
             leftover_bytes: 0,
             stray: None,
+            script: Vec::new(),
+            late: Vec::new(),
+            packet_bytes: 0,
+            continuations: Vec::new(),
         }
     }
 }
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -3,6 +3,8 @@
 use std::io::{self, BufRead as _, BufReader, Read as _, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rattanstall::clock::Millis;
@@ -10,12 +12,14 @@
 
 use super::life::{EndCause, Life};
 use super::{
-    ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Outcome, Overflow, Place,
-    ReceivedRequest, Shared, lock,
+    ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Outcome, Overflow, Piece,
+    Place, ReceivedRequest, Shared, lock,
 };
 
 /// Size of the pieces of bytes that never end.
 const OVERFLOW_PIECE_BYTES: usize = 8 << 10;
+/// Pause after each packet of a limited size.
+const PACKET_INTERVAL: Duration = Duration::from_micros(200);
 
 struct Request {
     head: String,
@@ -38,6 +42,12 @@
             .collect()
     }
 
+    /// The event after which a stream goes on; 0 at its beginning.
+    fn last_event(&self) -> u64 {
+        let event = self.header("last-event-id").and_then(|id| id.parse().ok());
+        event.unwrap_or(0)
+    }
+
     fn path(&self) -> &str {
         let target = self.head.split(' ').nth(1).unwrap_or_default();
         target.split('?').next().unwrap_or_default()
@@ -58,6 +68,9 @@
             writer,
             reader: BufReader::new(stream),
             number,
+            packet_bytes: 0,
+            is_over: Arc::default(),
+            late: Vec::new(),
         };
         serve_requests(shared, connection);
     }
@@ -90,6 +103,11 @@
     writer: TcpStream,
     reader: BufReader<TcpStream>,
     number: u64,
+    packet_bytes: usize,
+    /// Locked while an answer is written; `true` once the connection ends.
+    is_over: Arc<Mutex<bool>>,
+    /// Dropped with the connection, so that late pieces do not keep it open.
+    late: Vec<Sender<()>>,
 }
 
 impl Connection<'_> {
@@ -227,43 +245,68 @@
         if let Some((_, framing)) = shape {
             answer.framing = framing;
         }
-        let after = req.header("last-event-id").and_then(|id| id.parse().ok());
-        let after = after.unwrap_or(0);
-        let head = self.head(req, &answer, after);
+        let after = req.last_event();
+        if (1..=answer.continuations.len() as u64).contains(&after) {
+            answer = answer.continuations.swap_remove(after as usize - 1);
+        }
+        self.packet_bytes = answer.packet_bytes;
+        if let Some(first) = answer.script.first() {
+            self.life.pause(self.number, Millis(first.pause_ms));
+        }
+        let is_over = self.is_over.clone();
+        let mut is_over = lock(&is_over);
+        let result = match answer.script.is_empty() {
+            true => self.write_answer(req, number, &answer, crashing_part),
+            false => self.write_script(number, &answer),
+        };
+        *is_over = !matches!(result, Ok(Next::Keep));
+        result
+    }
+
+    fn write_answer(
+        &mut self,
+        req: &Request,
+        number: usize,
+        answer: &Answer,
+        crashing_part: Option<u64>,
+    ) -> io::Result<Next> {
+        let after = req.last_event();
+        let head = self.head(req, answer, after);
         if let Some(stray) = &answer.stray {
             self.write(stray.as_bytes())?;
         }
         if answer.place == Place::Head {
             self.write(&head.as_bytes()[..head.len() / 2])?;
-            return self.end(&answer);
+            return self.end(answer);
         }
         if answer.overflow == Some(Overflow::Head) {
             self.write(head.trim_end().as_bytes())?;
             self.write(b"\r\n")?;
-            return self.overflow(&answer, Overflow::Head, after);
+            return self.overflow(answer, Overflow::Head, after);
         }
         self.set_answered(number, answer.status);
         self.write(head.as_bytes())?;
         if let Some(part) = crashing_part {
             let lifecycle = &self.shared.setup.lifecycle;
             std::thread::sleep(lifecycle.crash_delay.as_duration());
+            let shape = *lock(&self.shared.crash_shape);
             let events = shape.map_or(0, |(events, _)| events);
             let pieces = answer.pieces(&self.shared.setup.version, after);
             for piece in pieces.into_iter().take(events) {
-                self.write_piece(&answer, &piece)?;
+                self.write_piece(answer, &piece)?;
             }
             self.shared.end_life(self.life, EndCause::Part(part));
             return Err(io::ErrorKind::BrokenPipe.into());
         }
         if let Some(overflow) = answer.overflow {
-            return self.overflow(&answer, overflow, after);
+            return self.overflow(answer, overflow, after);
         }
         for piece in answer.sent_pieces(&self.shared.setup.version, after) {
             self.life.pause(self.number, Millis(answer.pause_ms));
-            self.write_piece(&answer, &piece)?;
+            self.write_piece(answer, &piece)?;
         }
         if answer.place != Place::Complete {
-            return self.end(&answer);
+            return self.end(answer);
         }
         if answer.framing == Framing::Chunked {
             self.write(b"0\r\n\r\n")?;
@@ -272,11 +315,58 @@
             self.write(&vec![b'z'; answer.leftover_bytes])?;
         }
         match (answer.framing, answer.ending) {
-            (Framing::Length | Framing::Chunked, Ending::Close | Ending::Silence) => Ok(Next::Keep),
-            _ => self.end(&answer),
+            (Framing::Length | Framing::Chunked, Ending::Close | Ending::Silence) => {
+                self.send_late(&answer.late)?;
+                Ok(Next::Keep)
+            }
+            _ => self.end(answer),
         }
     }
 
+    /// Sends the pieces of an answer as they are.
+    fn write_script(&mut self, number: usize, answer: &Answer) -> io::Result<Next> {
+        self.writer.set_nodelay(true)?;
+        self.set_answered(number, answer.status);
+        if let Some(stray) = &answer.stray {
+            self.write(stray.as_bytes())?;
+        }
+        for (index, piece) in answer.script.iter().enumerate() {
+            if index > 0 {
+                self.life.pause(self.number, Millis(piece.pause_ms));
+            }
+            self.write(piece.text.as_bytes())?;
+        }
+        if answer.place != Place::Complete {
+            return self.end(answer);
+        }
+        self.send_late(&answer.late)?;
+        Ok(Next::Keep)
+    }
+
+    /// Sends pieces while the connection takes further requests.
+    fn send_late(&mut self, pieces: &[Piece]) -> io::Result<()> {
+        if pieces.is_empty() {
+            return Ok(());
+        }
+        let (mut writer, pieces) = (self.writer.try_clone()?, pieces.to_vec());
+        let is_over = self.is_over.clone();
+        let (tx, rx) = channel::<()>();
+        self.late.push(tx);
+        std::thread::spawn(move || {
+            for piece in pieces {
+                let waited = rx.recv_timeout(Duration::from_millis(piece.pause_ms));
+                let is_over = lock(&is_over);
+                if waited != Err(RecvTimeoutError::Timeout) || *is_over {
+                    return;
+                }
+                if writer.write_all(piece.text.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(())
+    }
+
     fn head(&self, req: &Request, answer: &Answer, after: u64) -> String {
         let setup = &self.shared.setup;
         let mut head = format!("HTTP/1.1 {} X\r\n", answer.status);
@@ -308,12 +398,24 @@
 
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.life.wait_while_silent(self.number)?;
-        self.writer.write_all(bytes)?;
+        match self.packet_bytes {
+            0 => self.writer.write_all(bytes)?,
+            most => self.write_packets(bytes, most)?,
+        }
         let sent = &self.shared.sent_bytes;
         sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         Ok(())
     }
 
+    fn write_packets(&mut self, bytes: &[u8], most: usize) -> io::Result<()> {
+        self.writer.set_nodelay(true)?;
+        for packet in bytes.chunks(most) {
+            self.writer.write_all(packet)?;
+            std::thread::sleep(PACKET_INTERVAL);
+        }
+        Ok(())
+    }
+
     fn write_piece(&mut self, answer: &Answer, piece: &[u8]) -> io::Result<()> {
         if answer.framing != Framing::Chunked {
             return self.write(piece);
