A body in another transfer coding than chunks is no answer

Callers got coded bytes as the body, without the field that names the coding, and for codings behind the chunks the chunk sizes too, ended as complete: 9 of 9 cases of kept_connections.rs.

Cause: the field is removed as one of a single connection, and a body that doesn't end in chunks was taken for one that ends with its connection. Such an answer now counts as one that broke off.

--- a/src/direct/forward/exchange.rs
+++ b/src/direct/forward/exchange.rs
@@ -232,7 +232,12 @@
         if let Some(run) = &mut run {
             run.record_status(res.status());
         }
-        let framing = Framing::of(res.headers(), res.body());
+        let Some(framing) = Framing::of(res.headers(), res.body()) else {
+            self.record_failure(in_flight.key());
+            let error = "another transfer coding than chunks";
+            job.log("request.no_answer", &[("error", error.into())]);
+            return Attempt::Failed(Code::AnswerCut, None);
+        };
         let is_reusable = !has_connection_close(res.headers()) && framing != Framing::Close;
         let mut progress = BodyProgress::new(framing);
         if job.is_event_stream(&res) {
--- a/src/direct/framing.rs
+++ b/src/direct/framing.rs
@@ -21,13 +21,20 @@
 }
 
 impl Framing {
-    /// Returns the framing of a response that was received with these headers.
-    pub fn of(headers: &HeaderMap, body: &Incoming) -> Self {
-        match body.size_hint().exact() {
+    /// Returns the framing of a response that was received with these headers; `None` if its
+    /// body is in a transfer coding other than chunks.
+    pub fn of(headers: &HeaderMap, body: &Incoming) -> Option<Self> {
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let coding = codings.next().map(|coding| coding.as_bytes().trim_ascii());
+        let is_chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked"));
+        if codings.next().is_some() || coding.is_some() && !is_chunked {
+            return None;
+        }
+        Some(match body.size_hint().exact() {
             Some(length) => Self::Length(length),
-            None if is_chunked(headers) => Self::Chunked,
+            None if is_chunked => Self::Chunked,
             None => Self::Close,
-        }
+        })
     }
 
     /// The name used in logs.
@@ -157,17 +164,6 @@
     }
 }
 
-/// Whether `chunked` is the last transfer coding.
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let last = headers
-        .get_all(header::TRANSFER_ENCODING)
-        .iter()
-        .next_back();
-    let codings = last.and_then(|value| value.to_str().ok());
-    let coding = codings.and_then(|list| list.rsplit(',').next());
-    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
-}
-
 /// Counts the first events of a stream. Comments alone are no event.
 #[derive(Clone, Debug)]
 struct EventCounter {
