--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod connection;
 mod life;
+mod script;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -16,6 +17,7 @@
 
 pub use answer::{Answer, Ending, Framing, Overflow, Place};
 pub use life::{EndCause, LifeRecord, Lifecycle};
+pub use script::{Script, Scripter};
 
 /// The path that sets the answer to requests that name none (`PUT`).
 pub const ANSWER_PATH: &str = "/control/answer";
@@ -114,6 +116,8 @@
     pages: Mutex<Vec<(String, u16, serde_json::Value)>>,
     /// The answer to all requests, also to those that name one.
     forced_answer: Mutex<Option<Answer>>,
+    /// Writes the answers to all requests.
+    scripter: Mutex<Option<Scripter>>,
     crashing_parts: Mutex<Vec<u64>>,
     /// Events that an answer under which the process ends brings, and its framing.
     crash_shape: Mutex<Option<(usize, Framing)>>,
@@ -181,6 +185,7 @@
             statements: Mutex::default(),
             pages: Mutex::default(),
             forced_answer: Mutex::default(),
+            scripter: Mutex::default(),
             crashing_parts: Mutex::default(),
             crash_shape: Mutex::default(),
             life: Mutex::default(),
@@ -210,6 +215,11 @@
         *lock(&self.shared.forced_answer) = answer;
     }
 
+    /// Writes the answers to all requests from now on.
+    pub fn set_scripter(&self, scripter: Scripter) {
+        *lock(&self.shared.scripter) = Some(scripter);
+    }
+
     /// Answers requests for a path as all others again.
     pub fn remove_page(&self, path: &str) {
         lock(&self.shared.pages).retain(|(known, ..)| known != path);
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -11,7 +11,7 @@
 use super::life::{EndCause, Life};
 use super::{
     ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Outcome, Overflow, Place,
-    ReceivedRequest, Shared, lock,
+    ReceivedRequest, Script, Shared, lock,
 };
 
 /// Size of the pieces of bytes that never end.
@@ -219,6 +219,10 @@
         number: usize,
         crashing_part: Option<u64>,
     ) -> io::Result<Next> {
+        let scripter = lock(&self.shared.scripter).clone();
+        if let Some(scripter) = scripter {
+            return self.play(&scripter(&req.head));
+        }
         let named = req.header(ANSWER_HEADER);
         let named = named.and_then(|text| serde_json::from_str(text).ok());
         let mut answer = self.shared.answer_to(named);
@@ -344,9 +348,24 @@
         Ok(Next::Close)
     }
 
+    fn play(&mut self, script: &Script) -> io::Result<Next> {
+        for (pause, bytes) in &script.steps {
+            self.life.pause(self.number, *pause);
+            self.write(bytes)?;
+        }
+        match script.ending {
+            Some(ending) => self.end_by(ending),
+            None => Ok(Next::Keep),
+        }
+    }
+
     /// Ends the connection as the answer demands.
     fn end(&mut self, answer: &Answer) -> io::Result<Next> {
-        match answer.ending {
+        self.end_by(answer.ending)
+    }
+
+    fn end_by(&mut self, ending: Ending) -> io::Result<Next> {
+        match ending {
             Ending::Close => {}
             Ending::Reset => {
                 let linger = Some(Duration::ZERO);
