Tests of endpoints that come back with another version

A gateway that hasn't heard of that takes it for the version before: nothing in a response names the software version, and the expected instance is the same.

The stand-in can come back with another version under its identifier.

--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -90,7 +90,7 @@
     pub headers: Vec<(String, String)>,
     /// Request headers that are copied to the response.
     pub echoed_headers: Vec<String>,
-    /// The software version, which is part of every event.
+    /// The software version of the first run, which is part of every event.
     pub version: String,
     /// When its process ends, and how it comes back.
     pub lifecycle: Lifecycle,
@@ -119,6 +119,8 @@
     crash_shape: Mutex<Option<(usize, Framing)>>,
     life: Mutex<Option<Arc<Life>>>,
     lives: Mutex<Vec<LifeRecord>>,
+    /// The software version of the runs that begin from now on.
+    version: Mutex<String>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -148,6 +150,10 @@
         lock(&self.lives)
     }
 
+    fn version(&self) -> MutexGuard<'_, String> {
+        lock(&self.version)
+    }
+
     fn now(&self) -> Millis {
         self.setup.lifecycle.clock.now()
     }
@@ -174,6 +180,7 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
+            version: Mutex::new(setup.version.clone()),
             setup,
             answer: Mutex::default(),
             history: Mutex::default(),
@@ -196,8 +203,8 @@
     }
 
     /// Its software version.
-    pub fn version(&self) -> &str {
-        &self.shared.setup.version
+    pub fn version(&self) -> String {
+        self.shared.version().clone()
     }
 
     /// Sets the answer to requests that name none.
@@ -246,6 +253,12 @@
         self.end(EndCause::Fault);
     }
 
+    /// Ends its process, which comes back with another software version.
+    pub fn crash_into(&self, version: &str) {
+        *self.shared.version() = version.to_owned();
+        self.crash();
+    }
+
     /// Ends its process once no request runs.
     pub fn leave(&self) {
         let life = self.shared.current_life().clone();
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -248,7 +248,7 @@
             let lifecycle = &self.shared.setup.lifecycle;
             std::thread::sleep(lifecycle.crash_delay.as_duration());
             let events = shape.map_or(0, |(events, _)| events);
-            let pieces = answer.pieces(&self.shared.setup.version, after);
+            let pieces = answer.pieces(&self.life.version, after);
             for piece in pieces.into_iter().take(events) {
                 self.write_piece(&answer, &piece)?;
             }
@@ -258,7 +258,7 @@
         if let Some(overflow) = answer.overflow {
             return self.overflow(&answer, overflow, after);
         }
-        for piece in answer.sent_pieces(&self.shared.setup.version, after) {
+        for piece in answer.sent_pieces(&self.life.version, after) {
             self.life.pause(self.number, Millis(answer.pause_ms));
             self.write_piece(&answer, &piece)?;
         }
@@ -292,7 +292,7 @@
             _ => "text/event-stream",
         };
         head += &format!("Content-Type: {content_type}\r\n");
-        let pieces = answer.pieces(&setup.version, after);
+        let pieces = answer.pieces(&self.life.version, after);
         let length: usize = pieces.iter().map(Vec::len).sum();
         match answer.framing {
             // More than is ever sent of bytes that never end.
@@ -335,7 +335,7 @@
             match kind {
                 Overflow::Head => self.write(format!("x-filler-{number}: y\r\n").as_bytes())?,
                 Overflow::Events => {
-                    let event = Answer::event(&self.shared.setup.version, number);
+                    let event = Answer::event(&self.life.version, number);
                     self.write_piece(answer, &event)?;
                 }
                 Overflow::Body | Overflow::Event => self.write_piece(answer, &filler)?,
--- a/standins/src/endpoint/life.rs
+++ b/standins/src/endpoint/life.rs
@@ -19,6 +19,8 @@
 pub struct Lifecycle {
     /// Its name; restarts add their number to it. The first run has the plain name.
     pub name: String,
+    /// Whether restarts keep the name.
+    pub keeps_name: bool,
     /// The request header that names the instance that may run a request; any other
     /// answers 421. Empty if requests name none.
     pub instance_header: String,
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             name: String::new(),
+            keeps_name: false,
             instance_header: String::new(),
             id_header: String::new(),
             parts_header: String::new(),
@@ -77,6 +80,8 @@
 /// One run of the process, shared by its connections.
 pub(super) struct Life {
     pub(super) instance: String,
+    /// Its software version.
+    pub(super) version: String,
     /// Stops the acceptor when it is shut down.
     listener: TcpListener,
     state: Mutex<LifeState>,
@@ -108,9 +113,10 @@
 }
 
 impl Life {
-    fn new(instance: String, listener: TcpListener) -> Self {
+    fn new(instance: String, version: String, listener: TcpListener) -> Self {
         Self {
             instance,
+            version,
             listener,
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -213,12 +219,15 @@
     }
 
     fn begin_life(&self, restarts: u64, listener: &TcpListener) -> io::Result<Arc<Life>> {
-        let name = &self.setup.lifecycle.name;
+        let Lifecycle {
+            name, keeps_name, ..
+        } = &self.setup.lifecycle;
         let instance = match restarts {
-            0 => name.clone(),
-            number => format!("{name}-{number}"),
+            number if number > 0 && !keeps_name => format!("{name}-{number}"),
+            _ => name.clone(),
         };
-        let life = Arc::new(Life::new(instance.clone(), listener.try_clone()?));
+        let version = self.version().clone();
+        let life = Arc::new(Life::new(instance.clone(), version, listener.try_clone()?));
         *self.current_life() = Some(life.clone());
         self.lives().push(LifeRecord {
             instance,
@@ -267,7 +276,7 @@
         }
         let now = self.now();
         let mut lives = self.lives();
-        if let Some(record) = lives.iter_mut().find(|r| r.instance == life.instance) {
+        if let Some(record) = lives.iter_mut().rfind(|r| r.instance == life.instance) {
             record.ended = Some((now, cause));
         }
     }
