A record of versions from an older copy of the store is not complete

Callers saw streams that began at v2 go on at v1 after the store had come back from a copy while all gateways were killed.

Cause: a gateway lets a stream without a record go on at the only version if the record of versions in the store has been read, whatever its age. A copy from before the new version has a record, and a list of endpoints, without it.

The record names the era of the store in which it was written, and from when on it is complete. One of an earlier era is complete when no stream can be left of what it may lack; the gateway that reads it first writes that down. A gateway that hears neither the store nor most others when the store comes back starts anew as well. One whose history isn't complete doesn't confirm to others that there is one version.

--- a/src/direct/background_calls/records.rs
+++ b/src/direct/background_calls/records.rs
@@ -14,7 +14,7 @@
 use crate::direct::streams::AgedRecord;
 use crate::direct::suspects::Block;
 use crate::direct::sync::{BLOCKS_KEY, VERSIONS_KEY, decode_blocks, decode_versions, log_skipped};
-use crate::direct::version_record::RecordedVersion;
+use crate::direct::version_record::VersionRecord;
 use crate::direct::{block_record, stream_records, version_record};
 
 impl BackgroundCalls {
@@ -34,12 +34,13 @@
     }
 
     /// Does the same with the record of software versions.
-    pub async fn record_versions(self: Rc<Self>, expected: u64, versions: Vec<RecordedVersion>) {
-        let value = version_record::encode(unix_now(), &versions).map_err(malformed);
+    pub async fn record_versions(self: Rc<Self>, expected: u64, record: VersionRecord) {
+        let value = version_record::encode(unix_now(), self.store.era(), &record);
+        let value = value.map_err(malformed);
         let written = self.write_or_read(VERSIONS_KEY, expected, value).await;
         self.send_event(match written {
-            Ok(Written::At(revision)) => Event::VersionsRecorded { revision, versions },
-            Ok(Written::Not(item)) => decode_versions(item.as_ref()),
+            Ok(Written::At(revision)) => Event::VersionsRecorded { revision, record },
+            Ok(Written::Not(item)) => decode_versions(self.store.era(), item.as_ref()),
             Err(error) => {
                 log_store_failure("versions", &error);
                 Event::VersionRecordFailed
--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -322,8 +322,8 @@
                 self.blocks_recorded(now, revision, blocks)
             }
             Event::RecordFailed => self.record_failed(now),
-            Event::VersionsRecorded { revision, versions } => {
-                self.versions_recorded(now, revision, &versions, &mut out)
+            Event::VersionsRecorded { revision, record } => {
+                self.versions_recorded(now, revision, &record, &mut out)
             }
             Event::VersionRecordFailed => self.version_record_failed(now),
             Event::OrderAnswered {
--- a/src/direct/control/event.rs
+++ b/src/direct/control/event.rs
@@ -23,7 +23,7 @@
 use crate::direct::shared::ModelDemand;
 use crate::direct::streams::{AgedRecord, StreamId, StreamRecord};
 use crate::direct::suspects::{Block, BlockState, CrashReport, PartId, PartProgress, Snapshot};
-use crate::direct::version_record::RecordedVersion;
+use crate::direct::version_record::VersionRecord;
 use crate::direct::view::LoadTable;
 
 /// The content of the leader key in the store.
@@ -206,8 +206,8 @@
     VersionsRecorded {
         /// Its revision; 0 if it does not exist.
         revision: u64,
-        /// The versions with their ages.
-        versions: Vec<RecordedVersion>,
+        /// What it says.
+        record: VersionRecord,
     },
     /// The record of software versions could not be written.
     VersionRecordFailed,
@@ -395,8 +395,8 @@
     RecordVersions {
         /// The revision that it must have; 0 if it must not exist.
         expected: u64,
-        /// The versions with their ages.
-        versions: Vec<RecordedVersion>,
+        /// What it says.
+        record: VersionRecord,
     },
     /// Fetch the configuration from a gateway if it has a newer one than this one.
     PullConfiguration(SocketAddr),
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -24,8 +24,12 @@
     }
 
     /// The store came back from a copy, in which this gateway's lease and leader key may be
-    /// missing, and endpoints that have left may stand.
+    /// missing, and endpoints that have left may stand. A gateway that was cut off has not heard
+    /// of the versions that the copy lacks.
     pub(super) fn store_restored(&mut self, now: Millis) {
+        if now >= self.current_until(now) {
+            self.versions.history.interrupt(now);
+        }
         self.restored_at = Some((now, self.leader.is_some()));
         self.directory.store_restored(now);
         self.resign("store restored");
--- a/src/direct/control/versions.rs
+++ b/src/direct/control/versions.rs
@@ -6,7 +6,7 @@
 use crate::clock::Millis;
 use crate::direct::document::RouteKind;
 use crate::direct::streams::{RECORD_LIFETIME, VersionHistory};
-use crate::direct::version_record::RecordedVersion;
+use crate::direct::version_record::{RecordedVersion, VersionRecord};
 
 /// How long a gateway waits for the leader to record a change, and the additional wait for
 /// each gateway that ranks earlier.
@@ -28,6 +28,8 @@
     pub history: VersionHistory,
     /// The revision of the record and its rows; `None` until it has been read.
     recorded: Option<(u64, Vec<Row>)>,
+    /// Whether the store came back from a copy since the record was written.
+    is_record_outdated: bool,
     /// The versions that are registered or left lately, sorted, as of the last look.
     current: Vec<Row>,
     /// Whether streams of several versions of one service may be left.
@@ -80,7 +82,7 @@
         &mut self,
         now: Millis,
         revision: u64,
-        recorded: &[RecordedVersion],
+        record: &VersionRecord,
         out: &mut Vec<Effect>,
     ) {
         let row = |v: &RecordedVersion| Row {
@@ -88,18 +90,20 @@
             version: v.version.clone(),
             left_at: v.left.map(|age| now - age),
         };
-        let mut rows: Vec<Row> = recorded.iter().map(row).collect();
+        let mut rows: Vec<Row> = record.versions.iter().map(row).collect();
         rows.sort_by(|a, b| a.key().cmp(&b.key()));
         let seen = rows.iter().map(|row| {
             let (service, version) = row.key();
             (service, version, row.left_at.unwrap_or(now))
         });
-        self.versions.history.note_record(seen);
+        let complete_from = now + record.complete_in;
+        self.versions.history.note_record(complete_from, seen);
         self.versions.history.expire(now);
         self.versions.is_writing = false;
         // A slow response may be older than what is known. Then the next write fails and
         // leads to another reading.
         self.versions.recorded = Some((revision, rows));
+        self.versions.is_record_outdated = record.is_outdated;
         self.versions.has_changed = true;
         out.push(Effect::Publish);
     }
@@ -123,7 +127,7 @@
             return;
         }
         let expected = *expected;
-        if agree(&state.current, recorded) {
+        if agree(&state.current, recorded) && !state.is_record_outdated {
             self.versions.differs_since = None;
             return;
         }
@@ -142,10 +146,12 @@
             version: row.version.clone(),
             left: row.left_at.map(|at| now.since(at)),
         });
-        out.push(Effect::RecordVersions {
-            expected,
+        let record = VersionRecord {
             versions: versions.collect(),
-        });
+            complete_in: state.history.complete_in(now),
+            is_outdated: false,
+        };
+        out.push(Effect::RecordVersions { expected, record });
     }
 
     /// How long a stream and its callers' tries may last.
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -198,8 +198,8 @@
             Effect::RecordBlocks { expected, blocks } => {
                 spawn_local(calls.clone().record_blocks(expected, blocks));
             }
-            Effect::RecordVersions { expected, versions } => {
-                spawn_local(calls.clone().record_versions(expected, versions));
+            Effect::RecordVersions { expected, record } => {
+                spawn_local(calls.clone().record_versions(expected, record));
             }
             Effect::Register(write) => {
                 spawn_local(calls.clone().register(write));
--- a/src/direct/streams.rs
+++ b/src/direct/streams.rs
@@ -269,8 +269,9 @@
     seen: Vec<(CompactString, CompactString, Millis)>,
     /// When the first version was recorded.
     since: Option<Millis>,
-    /// Whether the record in the store has been read.
-    is_record_read: bool,
+    /// From when on the versions in the store's record and those seen since are all of which
+    /// streams may be left; `None` until the record has been read.
+    complete_from: Option<Millis>,
 }
 
 impl VersionHistory {
@@ -281,9 +282,15 @@
     }
 
     /// Records the versions that services had by the record in the store, with the times at
-    /// which endpoints of them were last registered.
-    pub fn note_record<'a>(&mut self, rows: impl Iterator<Item = (&'a str, &'a str, Millis)>) {
-        self.is_record_read = true;
+    /// which endpoints of them were last registered. No streams of others are left from
+    /// `complete_from` on.
+    pub fn note_record<'a>(
+        &mut self,
+        complete_from: Millis,
+        rows: impl Iterator<Item = (&'a str, &'a str, Millis)>,
+    ) {
+        let known = self.complete_from.unwrap_or(complete_from);
+        self.complete_from = Some(known.min(complete_from));
         rows.for_each(|(service, version, at)| self.see(at, service, version));
     }
 
@@ -304,11 +311,22 @@
             .retain(|(_, _, at)| now.since(*at) < RECORD_LIFETIME);
     }
 
-    /// Whether the history reaches back to the beginning of all streams. The record in the
-    /// store does.
+    /// Versions may have been missed until now.
+    pub fn interrupt(&mut self, now: Millis) {
+        self.since = Some(now);
+        self.complete_from = None;
+    }
+
+    /// Whether the history reaches back to the beginning of all streams.
     pub fn is_complete(&self, now: Millis) -> bool {
-        let has_watched = |since| now.since(since) >= RECORD_LIFETIME;
-        self.is_record_read || self.since.is_some_and(has_watched)
+        self.complete_in(now) == Millis::ZERO
+    }
+
+    /// How long streams may be left that began before the history.
+    pub fn complete_in(&self, now: Millis) -> Millis {
+        let watched = self.since.unwrap_or(now) + RECORD_LIFETIME;
+        let complete_from = self.complete_from.unwrap_or(watched);
+        complete_from.min(watched).since(now)
     }
 
     /// The version of a service, if its endpoints had no other one lately.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -13,6 +13,7 @@
 use super::membership::registration::Seen;
 use super::queue::EventSender;
 use super::store::Store;
+use super::version_record::VersionRecord;
 use super::{block_record, version_record};
 use crate::clock::{Clock, Millis, unix_now};
 use crate::journal;
@@ -277,16 +278,16 @@
     }
 }
 
-/// The record of software versions; without an item, it does not exist.
-pub fn decode_versions(item: Option<&Item>) -> Event {
+/// The record of software versions in this era of the store; without an item, it does not exist.
+pub fn decode_versions(era: u64, item: Option<&Item>) -> Event {
     let value = item.and_then(|item| item.value.as_ref());
-    let versions = value.map(|value| version_record::decode(unix_now(), value));
-    let versions = versions.unwrap_or_else(|| Ok(Vec::new()));
+    let record = value.map(|value| version_record::decode(unix_now(), era, value));
+    let record = record.unwrap_or_else(|| Ok(VersionRecord::missing(era)));
     Event::VersionsRecorded {
         revision: item.map_or(0, |i| if i.value.is_some() { i.revision } else { 0 }),
-        versions: versions.unwrap_or_else(|error| {
+        record: record.unwrap_or_else(|error| {
             log_skipped(VERSIONS_KEY, &error.to_string());
-            Vec::new()
+            VersionRecord::missing(era)
         }),
     }
 }
@@ -334,7 +335,7 @@
         pauses.fleet
     }
 
-    fn on_list(&self, _store: &Store, page: Page) -> Vec<Event> {
+    fn on_list(&self, store: &Store, page: Page) -> Vec<Event> {
         let members = page.items.iter();
         let members = members.filter(|item| item.key.starts_with(MEMBER_PREFIX));
         let members = members.filter_map(Self::decode_member).collect();
@@ -348,11 +349,14 @@
             }),
             Event::LeaderKey(leader.and_then(Self::decode_leader)),
             decode_blocks(page.items.iter().find(|item| item.key == BLOCKS_KEY)),
-            decode_versions(page.items.iter().find(|item| item.key == VERSIONS_KEY)),
+            decode_versions(
+                store.era(),
+                page.items.iter().find(|item| item.key == VERSIONS_KEY),
+            ),
         ]
     }
 
-    fn on_change(&self, _store: &Store, item: Item) -> Option<Event> {
+    fn on_change(&self, store: &Store, item: Item) -> Option<Event> {
         if item.key == LEADER_KEY {
             return Some(Event::LeaderKey(Self::decode_leader(&item)));
         }
@@ -360,7 +364,7 @@
             return Some(decode_blocks(Some(&item)));
         }
         if item.key == VERSIONS_KEY {
-            return Some(decode_versions(Some(&item)));
+            return Some(decode_versions(store.era(), Some(&item)));
         }
         if item.key == self.own_key {
             return Some(Event::RegistrationSeen(Seen {
--- a/tests/direct_versions.rs
+++ b/tests/direct_versions.rs
@@ -12,7 +12,7 @@
 use rattanstall::direct::control::{Control, Effect, Event};
 use rattanstall::direct::dialect::Registration;
 use rattanstall::direct::streams::RECORD_LIFETIME;
-use rattanstall::direct::version_record::{RecordedVersion, decode, encode};
+use rattanstall::direct::version_record::{RecordedVersion, VersionRecord, decode, encode};
 
 use fleet::settings;
 use registration::registration;
@@ -32,12 +32,30 @@
     }
 }
 
+/// A record that lacks no version.
+fn whole(versions: &[RecordedVersion]) -> VersionRecord {
+    VersionRecord {
+        versions: versions.to_vec(),
+        ..VersionRecord::default()
+    }
+}
+
 /// A gateway that has read the endpoints and the record, and leads or not.
 fn gateway(
     now: u64,
     endpoints: &[Registration],
     leads: bool,
     record: &[RecordedVersion],
+) -> Control {
+    gateway_with(now, endpoints, leads, whole(record))
+}
+
+/// The same with any record.
+fn gateway_with(
+    now: u64,
+    endpoints: &[Registration],
+    leads: bool,
+    record: VersionRecord,
 ) -> Control {
     let mut control = Control::new(Arc::new(settings(0)));
     let mut events = vec![
@@ -45,7 +63,7 @@
         Event::Registrations(endpoints.to_vec()),
         Event::VersionsRecorded {
             revision: 7,
-            versions: record.to_vec(),
+            record,
         },
     ];
     if leads {
@@ -64,7 +82,7 @@
 fn written(control: &mut Control, now: u64) -> Option<(u64, Vec<RecordedVersion>)> {
     let effects = control.reduce(Millis(now), Event::Tick(Vec::new()));
     effects.into_iter().find_map(|effect| match effect {
-        Effect::RecordVersions { expected, versions } => Some((expected, versions)),
+        Effect::RecordVersions { expected, record } => Some((expected, record.versions)),
         _ => None,
     })
 }
@@ -90,7 +108,7 @@
     assert_eq!(written(&mut leader, 1_100), None);
     let is_written = Event::VersionsRecorded {
         revision: 8,
-        versions: first,
+        record: whole(&first),
     };
     leader.reduce(Millis(1_110), is_written);
     assert_eq!(written(&mut leader, 1_150), None);
@@ -103,7 +121,7 @@
     assert_eq!(written(&mut leader, 2_050), Some((8, both.clone())));
     let is_written = Event::VersionsRecorded {
         revision: 9,
-        versions: both,
+        record: whole(&both),
     };
     leader.reduce(Millis(2_060), is_written);
     let (_, rows) = (0..100)
@@ -148,10 +166,66 @@
 #[test]
 fn a_record_grows_older_in_the_store() {
     let rows = vec![recorded("v1", Some(5_000)), recorded("v2", None)];
-    let value = encode(Millis(100_000), &rows).expect("encoded");
-    let read = decode(Millis(160_000), &value).expect("decoded");
-    assert_eq!(read, [recorded("v1", Some(65_000)), recorded("v2", None)]);
+    let value = encode(Millis(100_000), 1, &whole(&rows)).expect("encoded");
+    let read = decode(Millis(160_000), 1, &value).expect("decoded");
+    let older = [recorded("v1", Some(65_000)), recorded("v2", None)];
+    assert_eq!(read, whole(&older));
     // The clock of the reader may be behind.
-    assert_eq!(decode(Millis(90_000), &value).expect("decoded"), rows);
-    assert!(decode(Millis(0), b"other").is_err());
+    let read = decode(Millis(90_000), 1, &value).expect("decoded");
+    assert_eq!(read, whole(&rows));
+    assert!(decode(Millis(0), 1, b"other").is_err());
+}
+
+// Guards against a gateway that takes the record of a restored store for complete: what came
+// after the copy is missing.
+#[test]
+fn a_record_of_an_earlier_era_is_complete_when_no_older_stream_is_left() {
+    let rows = vec![recorded("v1", None)];
+    let value = encode(Millis(100_000), 1, &whole(&rows)).expect("encoded");
+    let read = decode(Millis(101_000), 2, &value).expect("decoded");
+    assert!(read.is_outdated);
+    assert_eq!(read.complete_in, RECORD_LIFETIME);
+    // A gateway that starts writes it again, with what it lacks.
+    let mut started = gateway_with(1_000, &[endpoint("a", "v1")], true, read);
+    assert_eq!(only_version(&mut started, 1_100), None);
+    let effects = started.reduce(Millis(2_000), Event::Tick(Vec::new()));
+    let written = effects.into_iter().find_map(|effect| match effect {
+        Effect::RecordVersions { record, .. } => Some(record),
+        _ => None,
+    });
+    let written = written.expect("a record");
+    assert_eq!(written.complete_in, RECORD_LIFETIME - Millis(1_000));
+    let value = encode(Millis(102_000), 2, &written).expect("encoded");
+    let read = decode(Millis(103_000), 2, &value).expect("decoded");
+    assert!(!read.is_outdated);
+    // So does another one, which trusts it from the same time on.
+    let mut other = gateway_with(3_000, &[endpoint("a", "v1")], false, read);
+    let complete_at = 1_000 + RECORD_LIFETIME.0;
+    assert_eq!(only_version(&mut other, complete_at - 1), None);
+    assert_eq!(only_version(&mut other, complete_at), Some("v1".into()));
+}
+
+#[test]
+fn only_a_store_in_its_first_era_may_lack_the_record() {
+    for (era, expected) in [(0, Some("v1")), (1, Some("v1")), (2, None)] {
+        let record = VersionRecord::missing(era);
+        let mut started = gateway_with(1_000, &[endpoint("a", "v1")], false, record);
+        let only = only_version(&mut started, 1_100);
+        assert_eq!(only.as_deref(), expected, "era {era}");
+    }
+}
+
+// Guards against a gateway that was cut off when the store came back, and takes its own knowledge
+// for complete.
+#[test]
+fn a_gateway_that_was_cut_off_from_a_restored_store_does_not_know_all_versions() {
+    for (is_cut_off, expected) in [(false, Some("v1")), (true, None)] {
+        let mut gateway = gateway(1_000, &[endpoint("a", "v1")], false, &[]);
+        if is_cut_off {
+            gateway.reduce(Millis(2_000), Event::StoreLost);
+        }
+        gateway.reduce(Millis(5_000), Event::StoreRestored);
+        let only = only_version(&mut gateway, 5_100);
+        assert_eq!(only.as_deref(), expected, "cut off: {is_cut_off}");
+    }
 }
--- a/tests/support/stream_fleet.rs
+++ b/tests/support/stream_fleet.rs
@@ -15,7 +15,7 @@
 use rattanstall::direct::members::Owner;
 use rattanstall::direct::stream_records::{decode, encode};
 use rattanstall::direct::streams::{StreamId, StreamRecord, Streams};
-use rattanstall::direct::version_record::RecordedVersion;
+use rattanstall::direct::version_record::{RecordedVersion, VersionRecord};
 
 use crate::fleet::{gateway, member, settings};
 use crate::registration::registration;
@@ -143,7 +143,10 @@
                 Event::Registrations(endpoints.collect()),
                 Event::VersionsRecorded {
                     revision: 1,
-                    versions: versions.collect(),
+                    record: VersionRecord {
+                        versions: versions.collect(),
+                        ..VersionRecord::default()
+                    },
                 },
                 Event::Members(members.collect()),
                 Event::LeaseHeld(Millis(u64::MAX)),
