Gateways that are cut off together don't confirm the only version

Callers saw streams that began at v2 go on at v1 at one of two gateways that the store and the others had dropped, once the others were gone.

Cause: what a gateway knows counts as current while it hears most others, and another one is heard for 1.5 s after its last datagram. Two gateways that are cut off together answer each other's question for so long.

Now it is current for 300 ms after the time since which each of a majority was heard, and the gateway that was asked for the stream needs a majority that it heard after that. The cut-off ones hear only each other by then.

What remains: a gateway that neither hears the others nor has seen a call to the store fail counts as current by its lease for up to half of the lease's duration.

--- a/src/direct/control/registration.rs
+++ b/src/direct/control/registration.rs
@@ -19,13 +19,12 @@
     }
 
     /// Until when what this gateway knows of the endpoints counts as current.
-    pub fn current_until(&self, now: Millis) -> Millis {
+    pub fn current_until(&self) -> Millis {
         let currency = Currency {
-            now,
             lease_until: self.lease_until,
             lease: self.settings.bounds.lease,
             is_store_lost: self.is_store_lost,
-            hears_most_others: self.members.count() > 1 && self.members.hears_majority(now),
+            majority_heard_at: self.members.majority_heard_at(),
         };
         currency.until()
     }
--- a/src/direct/control/store.rs
+++ b/src/direct/control/store.rs
@@ -27,7 +27,7 @@
     /// missing, and endpoints that have left may stand. A gateway that was cut off has not heard
     /// of the versions that the copy lacks.
     pub(super) fn store_restored(&mut self, now: Millis) {
-        if now >= self.current_until(now) {
+        if now >= self.current_until() {
             self.versions.history.interrupt(now);
         }
         self.restored_at = Some((now, self.leader.is_some()));
--- a/src/direct/control/streams.rs
+++ b/src/direct/control/streams.rs
@@ -107,7 +107,7 @@
         id: StreamId,
         out: &mut Vec<Effect>,
     ) {
-        let is_sure = now < self.current_until(now) && self.versions.history.is_complete(now);
+        let is_sure = now < self.current_until() && self.versions.history.is_complete(now);
         let if_unknown = !self.versions.are_several && is_sure;
         let to = self.members.address_of(from);
         out.extend(to.map(|to| Effect::TellStream { to, id, if_unknown }));
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -109,7 +109,7 @@
             relay_progress.set(control.relay_progress());
             pace.set(control.pauses());
             if is_contact_due {
-                let until = control.current_until(began);
+                let until = control.current_until();
                 self.shared.set_current_until(until);
             }
             store.log_if_due(began);
--- a/src/direct/members/owners.rs
+++ b/src/direct/members/owners.rs
@@ -58,6 +58,16 @@
         })
     }
 
+    /// The latest time since which each of a majority of the registered gateways, with this one,
+    /// was heard, if there are others.
+    pub fn majority_heard_at(&self) -> Option<Millis> {
+        let heard = self.peers.iter().filter(|p| p.report.boot != 0);
+        let mut heard: Vec<Millis> = heard.map(|p| p.report.received_at).collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = self.count() / 2;
+        heard.get(needed.checked_sub(1)?).copied()
+    }
+
     /// Whether this gateway and the reachable peers are a majority of the registered gateways.
     pub fn hears_majority(&self, now: Millis) -> bool {
         let is_reachable =
--- a/src/direct/membership/currency.rs
+++ b/src/direct/membership/currency.rs
@@ -4,23 +4,21 @@
 use crate::clock::Millis;
 
 /// How long it counts as current that most other gateways were heard: several ticks.
-const HEARD_VALIDITY: Millis = Millis(300);
+pub const HEARD_VALIDITY: Millis = Millis(300);
 /// The renewal of a lease shows for this part of its duration that the store is reached.
 const RENEWAL_DIVISOR: u64 = 2;
 
 /// What shows that this gateway is in contact with the store or the others.
 #[derive(Clone, Copy, Debug)]
 pub struct Currency {
-    /// The time.
-    pub now: Millis,
     /// Until when the lease is valid by its last renewal.
     pub lease_until: Millis,
     /// The duration of a lease.
     pub lease: Millis,
     /// Whether a call of the store has failed since the last one that succeeded.
     pub is_store_lost: bool,
-    /// Whether there are other gateways, and a majority of all is heard.
-    pub hears_most_others: bool,
+    /// The latest time since which each gateway of a majority was heard, if there are others.
+    pub majority_heard_at: Option<Millis>,
 }
 
 impl Currency {
@@ -31,10 +29,7 @@
             true => Millis::ZERO,
             false => self.lease_until - unused,
         };
-        let by_others = match self.hears_most_others {
-            true => self.now + HEARD_VALIDITY,
-            false => Millis::ZERO,
-        };
-        by_store.max(by_others)
+        let by_others = self.majority_heard_at.map(|at| at + HEARD_VALIDITY);
+        by_store.max(by_others.unwrap_or_default())
     }
 }
--- a/src/direct/origin.rs
+++ b/src/direct/origin.rs
@@ -6,6 +6,7 @@
 use super::control::Event;
 use super::document::RouteKind;
 use super::job::Job;
+use super::membership::currency::HEARD_VALIDITY;
 use super::refusal::Refusal;
 use super::resume::ResumePoint;
 use super::shared::Shared;
@@ -59,6 +60,7 @@
 
 /// Returns the version that began the stream, and where that was found.
 async fn find_version(shared: &Shared, job: &Job) -> Option<(CompactString, &'static str)> {
+    let asked_at = shared.now();
     let id = job.metadata.resumes.as_deref().map(StreamId::of_attempt);
     if let Some(version) = id.and_then(|id| shared.streams.version_of(id)) {
         return Some((version, "record"));
@@ -72,7 +74,7 @@
         },
         _ => true,
     };
-    let is_current = is_unknown_elsewhere && wait_until_current(shared).await;
+    let is_current = is_unknown_elsewhere && wait_until_current(shared, asked_at).await;
     let versions = shared.view().versions.clone();
     let may_trust = is_current && versions.is_complete(shared.now());
     let only = versions.only_version(&job.service).filter(|_| may_trust)?;
@@ -80,13 +82,15 @@
 }
 
 /// Waits until what is known of the endpoints is current. Right after the start, the store
-/// has yet to answer.
-async fn wait_until_current(shared: &Shared) -> bool {
+/// has yet to answer. Other gateways count only if they were heard since the request came: some
+/// that are cut off together may still count each other as most of all.
+async fn wait_until_current(shared: &Shared, asked_at: Millis) -> bool {
     let until = shared.now() + LOOKUP_TIMEOUT;
-    while !shared.is_current() && shared.now() < until {
+    let is_current = || shared.is_current_at(asked_at + HEARD_VALIDITY);
+    while !is_current() && shared.now() < until {
         sleep(CURRENCY_POLL_INTERVAL.as_duration()).await;
     }
-    shared.is_current()
+    is_current()
 }
 
 /// What the other gateways know of a stream.
--- a/src/direct/shared.rs
+++ b/src/direct/shared.rs
@@ -408,9 +408,9 @@
         self.gateway_count.store(gateways.max(1), Ordering::Relaxed);
     }
 
-    /// Whether what is known of the endpoints counts as current.
-    pub fn is_current(&self) -> bool {
-        self.now().0 < self.current_until.load(Ordering::Relaxed)
+    /// Whether what is known of the endpoints counts as current at a time.
+    pub fn is_current_at(&self, at: Millis) -> bool {
+        at.0 < self.current_until.load(Ordering::Relaxed)
     }
 
     /// Sets until when what is known of the endpoints counts as current.
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -9,6 +9,7 @@
 use rattanstall::direct::control::{Effect, Event};
 use rattanstall::direct::gossip::{Datagram, Message};
 use rattanstall::direct::members::{Member, Members};
+use rattanstall::direct::membership::currency::{Currency, HEARD_VALIDITY};
 
 use fleet::{from_peer, gateway, member, registered_gateway};
 
@@ -65,3 +66,37 @@
     assert_eq!(told, [(gateway(1), Millis(1_000))]);
     assert_eq!(copies(control.reduce(Millis(9_060), tick())), [], "once");
 }
+
+// Guards against gateways that are cut off together and take each other for most of all, as long
+// as those that are gone count as reachable.
+#[test]
+fn what_a_gateway_knows_is_current_while_it_hears_most_others_not_after() {
+    let heard_until = |others: usize, heard: &[(usize, u64)]| {
+        let mut members = Members::new(gateway(0));
+        (1..=others).for_each(|number| {
+            members.put(member(number));
+        });
+        for (number, at) in heard {
+            let heard = Datagram {
+                from: gateway(*number),
+                ..datagram(1, *at)
+            };
+            members.receive(Millis(*at), heard);
+        }
+        let currency = Currency {
+            lease_until: Millis(3_000),
+            lease: Millis(3_000),
+            is_store_lost: true,
+            majority_heard_at: members.majority_heard_at(),
+        };
+        currency.until()
+    };
+    let until = |at: u64| Millis(at) + HEARD_VALIDITY;
+    assert_eq!(heard_until(0, &[]), Millis::ZERO);
+    assert_eq!(heard_until(1, &[(1, 900)]), until(900));
+    assert_eq!(heard_until(2, &[(1, 900)]), until(900));
+    assert_eq!(heard_until(3, &[(1, 900)]), Millis::ZERO);
+    // Of five, another one is heard still, and the rest not any more.
+    let heard = [(1, 100), (2, 110), (3, 120), (4, 1_200)];
+    assert_eq!(heard_until(4, &heard), until(120));
+}
