--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -109,7 +109,7 @@
             relay_progress.set(control.relay_progress());
             pace.set(control.pauses());
             if is_contact_due {
-                let until = control.current_until(began);
+                let until = control.current_until();
                 self.shared.set_current_until(until);
             }
             store.log_if_due(began);
@@ -198,8 +198,8 @@
             Effect::RecordBlocks { expected, blocks } => {
                 spawn_local(calls.clone().record_blocks(expected, blocks));
             }
-            Effect::RecordVersions { expected, versions } => {
-                spawn_local(calls.clone().record_versions(expected, versions));
+            Effect::RecordVersions { expected, record } => {
+                spawn_local(calls.clone().record_versions(expected, record));
             }
             Effect::Register(write) => {
                 spawn_local(calls.clone().register(write));
--- a/tests/direct_joining.rs
+++ b/tests/direct_joining.rs
@@ -183,15 +183,23 @@
     assert_eq!(usual.get("s"), Step::Even(1));
 }
 
+const STREAM: (&str, &str) = ("content-type", "text/event-stream; charset=utf-8");
+
+/// A status, headers, and whether they go on with a stream.
+type Head = (
+    u16,
+    &'static [(&'static str, &'static str)],
+    Result<(), NoContinuation>,
+);
+
 // Guards against an error text, or nothing at all, that is taken for the rest of a stream.
 #[test]
 fn only_a_stream_of_events_goes_on_with_a_stream() {
-    let stream = ("content-type", "text/event-stream; charset=utf-8");
-    let cases: [(u16, &[(&str, &str)], Result<(), NoContinuation>); 8] = [
-        (200, &[stream], Ok(())),
-        (200, &[stream, ("content-length", "0")], Ok(())),
+    let cases: [Head; 8] = [
+        (200, &[STREAM], Ok(())),
+        (200, &[STREAM, ("content-length", "0")], Ok(())),
         (200, &[], Err(NoContinuation::ContentType)),
-        (200, &[stream, ("content-encoding", "identity")], Ok(())),
+        (200, &[STREAM, ("content-encoding", "identity")], Ok(())),
         (
             200,
             &[("content-type", "text/plain")],
@@ -199,7 +207,7 @@
         ),
         (
             200,
-            &[stream, ("content-encoding", "gzip")],
+            &[STREAM, ("content-encoding", "gzip")],
             Err(NoContinuation::Encoded),
         ),
         (
@@ -209,7 +217,7 @@
         ),
         (
             500,
-            &[stream],
+            &[STREAM],
             Err(NoContinuation::Status(StatusCode::INTERNAL_SERVER_ERROR)),
         ),
     ];
