An unframed stream does not end as complete with its endpoint's process

Callers got a stream with neither a length nor chunks as complete, though its endpoint's process had ended in the middle of it: the kernel closes the connections of a process in order, unless it has unread bytes.

Cause: an orderly end between two events was taken for the end of the stream. Now the gateway looks whether the endpoint still takes connections, 5 ms later, as it does for suspect parts of prompts; if not, the stream broke off, and goes on elsewhere if it may be resumed. An endpoint that leaves ends anyway, so its streams end as they came. Cost: a connection for each stream without framing, none for others.

An endpoint that ends and is back within 5 ms isn't noticed.

--- a/src/direct/crash_watch.rs
+++ b/src/direct/crash_watch.rs
@@ -89,6 +89,16 @@
         })
     }
 
+    /// Whether the process of an endpoint that was in use, and did not leave, has just ended.
+    pub async fn has_ended(&self, endpoint: &Registration) -> bool {
+        let is_leaving = self.shared.notices.is_leaving(endpoint);
+        if is_leaving || !is_in_use(&self.shared.view(), endpoint) {
+            return false;
+        }
+        sleep(PROBE_DELAY.as_duration()).await;
+        probe_once(endpoint.address).await == Probed::Ended
+    }
+
     fn record_break(self: &Rc<Self>, run: &WatchedRun) -> Option<Verdict> {
         let now = self.shared.now();
         let id = CrashId::of_run(&run.endpoint.id, run.endpoint.started_at);
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -62,7 +62,8 @@
     pub buffers: BufferBudget,
     /// How the numbers of services' streams rise.
     pub usual_steps: RefCell<UsualSteps>,
-    crash_watch: Rc<CrashWatch>,
+    /// Watches runs that break off.
+    pub crash_watch: Rc<CrashWatch>,
     budgets: RefCell<Vec<(CompactString, RetryBudget)>>,
     targets: RefCell<Targets>,
     /// By service, sorted.
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -35,6 +35,9 @@
 /// Reason for which a copy with chunks does not end with a body of unknown end.
 const UNKNOWN_END: &str = "its end is unknown";
 
+/// Reason for which an unframed stream is not taken for complete.
+const ENDED_WITH_ENDPOINT: &str = "its endpoint ended";
+
 /// What an endpoint's part of a stream brings next.
 enum PartProgress {
     /// Bytes for the caller; none while an event is not complete.
@@ -207,6 +210,9 @@
                 Err(fault) => PartProgress::Failed(self.reject_events(fault)),
             },
             Some(Err(error)) => PartProgress::Failed(self.upstream_broke(&error.to_string())),
+            None if self.has_broken_in_order().await => {
+                PartProgress::Failed(self.upstream_broke(ENDED_WITH_ENDPOINT))
+            }
             None => match self.end_of_body() {
                 EndOfCopy::Finished => PartProgress::Finished,
                 EndOfCopy::Unknown => PartProgress::Failed(self.upstream_ended()),
@@ -215,6 +221,20 @@
         })
     }
 
+    /// Whether the end of an unframed stream is that of its endpoint's process, whose
+    /// connections are closed in order.
+    async fn has_broken_in_order(&self) -> bool {
+        let Some((upstream_body, _)) = &self.upstream else {
+            return false;
+        };
+        let progress = &upstream_body.progress;
+        if !progress.is_event_stream() || progress.end() != BodyEnd::Unknown {
+            return false;
+        }
+        let watch = &self.forwarder.crash_watch;
+        watch.has_ended(&upstream_body.endpoint).await
+    }
+
     /// Records that what the endpoint sends is not passed on, and returns the reason.
     fn reject_events(&mut self, fault: EventFault) -> String {
         let metrics = &self.forwarder.shared.metrics;
