Events that are complete reach the caller before a stream is given up for lack of room

Cause: the tracker moved past the events of a chunk, then the bytes behind them exceeded what the gateway holds back, and the events were dropped; the stream was resumed after them. They are now passed on, and the fault is looked at with the next read.

--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -318,7 +318,8 @@
         };
         let events = tracker.push(&chunk)?;
         if !self.held.resize(tracker.pending_bytes()) {
-            return Err(EventFault::TooLarge);
+            // The events that are complete go to the caller first.
+            tracker.set_fault(EventFault::TooLarge);
         }
         if !events.is_empty() {
             self.record_version(now);
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -125,6 +125,11 @@
         Ok(events)
     }
 
+    /// The stream does not go on after the events that were returned last.
+    pub fn set_fault(&mut self, fault: EventFault) {
+        self.fault = Some(fault);
+    }
+
     /// Why the stream does not go on after the events that were returned last.
     pub fn take_fault(&mut self) -> Option<EventFault> {
         self.fault.take()
