A position that only a caller has named harms nobody else, and sound parts are joined

Such a position is asked for once and makes no endpoint suspect. Events without an identifier are refused only where parts join, the next number always goes on, comments and reconnection times are no events, and an encoded body is no stream of events. A media type is compared without regard to case.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -70,11 +70,9 @@
                 }
                 return Ok(relay_stream(forwarder, job, upstream, history, version));
             };
-            reject_continuation(&forwarder, &job, upstream, mismatch);
-            if !forwarder.may_retry(&job, &mut history).await {
-                return Err(Refusal::new(Code::NoContinuation));
-            }
-            continue;
+            // Only the caller has named the position: other endpoints may have no rest either.
+            reject_continuation(&forwarder, &job, &upstream, mismatch);
+            return Err(Refusal::new(Code::NoContinuation));
         }
         match buffer_response(&forwarder, &job, upstream).await {
             Buffered::Ended(res) => return Ok(res),
@@ -93,23 +91,16 @@
     }
 }
 
-/// Records that a response to a request for the rest of a stream is not joined to it, and
-/// closes its connection.
+/// Records that a response to a request for the rest of a stream is not joined to it.
 fn reject_continuation(
     forwarder: &Forwarder,
     job: &Job,
-    upstream: UpstreamResponse,
+    upstream: &UpstreamResponse,
     mismatch: NoContinuation,
 ) {
-    let shared = &forwarder.shared;
-    shared.metrics.count_continuation(mismatch.as_str());
-    let (parts, upstream_body) = upstream.into_parts();
-    upstream_body.log_end(job, None, &mismatch.to_string());
-    if parts.status.is_success() {
-        let now = shared.now();
-        let in_flight = &upstream_body.in_flight;
-        in_flight.update_endpoint(|endpoint| endpoint.record_failure(now));
-    }
+    let metrics = &forwarder.shared.metrics;
+    metrics.count_continuation(mismatch.as_str());
+    upstream.body().log_end(job, None, &mismatch.to_string());
 }
 
 enum Buffered {
--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -67,6 +67,8 @@
     has_events: bool,
     /// Whether the version has been recorded for the caller's next try.
     is_recorded: bool,
+    /// Whether an endpoint had no rest of the stream after the event that its caller has named.
+    is_position_doubtful: bool,
     has_started: bool,
     /// How the end of the caller's copy is marked.
     framing: Framing,
@@ -136,6 +138,7 @@
             version: None,
             has_events: job.is_continuation(),
             is_recorded: false,
+            is_position_doubtful: false,
             has_started: false,
             framing,
             status: status.as_u16(),
@@ -240,10 +243,12 @@
         let metrics = &self.forwarder.shared.metrics;
         metrics.count_continuation(fault.as_str());
         let why = fault.to_string();
-        // The position may be wrong if only the caller has named it.
-        if self.is_recorded || fault == EventFault::TooLarge {
+        let has_events = self.tracker.as_ref().is_some_and(EventTracker::has_events);
+        if has_events || fault == EventFault::TooLarge {
             return self.upstream_failed(&why);
         }
+        // Only the caller has named the position: other endpoints may have no rest either.
+        self.is_position_doubtful = true;
         if let Some((upstream_body, _)) = &self.upstream {
             upstream_body.log_end(&self.job, self.tracker.as_ref(), &why);
         }
@@ -399,20 +404,19 @@
                 return false;
             };
             let is_failure = !upstream.status().is_success();
-            match check_head(upstream.status(), upstream.headers()) {
-                Ok(()) => {
-                    let metrics = &self.forwarder.shared.metrics;
-                    metrics.count_continuation("joined");
-                    self.attach(upstream.into_body());
-                    return true;
-                }
-                Err(mismatch) => {
-                    reject_continuation(&self.forwarder, &self.job, upstream, mismatch)
-                }
-            }
+            let Err(mismatch) = check_head(upstream.status(), upstream.headers()) else {
+                let metrics = &self.forwarder.shared.metrics;
+                metrics.count_continuation("joined");
+                self.attach(upstream.into_body());
+                return true;
+            };
+            reject_continuation(&self.forwarder, &self.job, &upstream, mismatch);
             if is_failure {
                 return false;
             }
+            let now = self.forwarder.shared.now();
+            let in_flight = &upstream.body().in_flight;
+            in_flight.update_endpoint(|endpoint| endpoint.record_failure(now));
         }
         false
     }
@@ -422,7 +426,8 @@
         let tracker = self.tracker.as_mut()?;
         tracker.drop_pending();
         let is_version_unknown = self.has_events && self.version.is_none();
-        if is_version_unknown || !tracker.numbering().is_resumable() {
+        let is_resumable = tracker.numbering().is_resumable();
+        if is_version_unknown || self.is_position_doubtful || !is_resumable {
             return None;
         }
         Some(ResumePoint {
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -13,6 +13,9 @@
 use super::framing::{EventBoundary, MAX_EVENT_BYTES};
 use numbering::{Numbering, OutOfTurn, Step};
 
+/// What a stream of events may begin with.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// Where a stream goes on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResumePoint {
@@ -32,6 +35,8 @@
     boundary: EventBoundary,
     numbering: Numbering,
     part: Part,
+    /// Whether an event has been passed on.
+    has_events: bool,
     /// Why the events that followed those passed on last were not.
     fault: Option<EventFault>,
 }
@@ -86,6 +91,11 @@
         &self.numbering
     }
 
+    /// Whether an event has been passed on. Before, only the caller has named the position.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// What the present endpoint wrote.
     pub fn part(&self) -> &Part {
         &self.part
@@ -141,9 +151,10 @@
         let mut has_field = false;
         let mut id = None;
         for (line, end) in lines(events) {
+            let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
             if !line.is_empty() {
-                // A line that begins with a colon is a comment.
-                has_field |= !line.starts_with(b":");
+                // A comment or a reconnection time alone is no event.
+                has_field |= !line.starts_with(b":") && !line.starts_with(b"retry:");
                 if let Some(value) = line.strip_prefix(b"id:") {
                     id = std::str::from_utf8(value.trim_ascii()).ok();
                 }
@@ -156,6 +167,7 @@
                     self.part.first_id = id.map(CompactString::from);
                 }
                 self.part.events += 1;
+                self.has_events = true;
             }
             kept = end;
         }
--- a/src/direct/resume/joining.rs
+++ b/src/direct/resume/joining.rs
@@ -2,6 +2,8 @@
 
 use http::{HeaderMap, StatusCode, header};
 
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Why a response does not go on with a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NoContinuation {
@@ -27,10 +29,18 @@
     }
 }
 
-/// Whether a body is a stream of events by its content type; `None` if it states none.
+/// Whether a body is a stream of events by its head; `None` if that states no content type. The
+/// events of an encoded body cannot be read.
 pub fn is_event_stream(headers: &HeaderMap) -> Option<bool> {
-    let value = headers.get(header::CONTENT_TYPE)?;
-    Some(value.as_bytes().starts_with(b"text/event-stream"))
+    let value = headers.get(header::CONTENT_TYPE)?.as_bytes();
+    let media_type = value.split(|b| *b == b';').next().unwrap_or_default();
+    let is_stream = media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM);
+    Some(is_stream && !is_encoded(headers))
+}
+
+fn is_encoded(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(header::CONTENT_ENCODING).iter();
+    encodings.any(|value| !value.as_bytes().eq_ignore_ascii_case(b"identity"))
 }
 
 /// Checks the head of the response to a request for the rest of a stream.
@@ -38,8 +48,7 @@
     if status != StatusCode::OK {
         return Err(NoContinuation::Status(status));
     }
-    let mut encodings = headers.get_all(header::CONTENT_ENCODING).iter();
-    if encodings.any(|value| !value.as_bytes().eq_ignore_ascii_case(b"identity")) {
+    if is_encoded(headers) {
         return Err(NoContinuation::Encoded);
     }
     match is_event_stream(headers) {
--- a/src/direct/resume/numbering.rs
+++ b/src/direct/resume/numbering.rs
@@ -13,15 +13,15 @@
         /// Number of this event.
         number: u64,
     },
-    /// Events before it are missing.
-    #[error("event {number} where event {expected} follows")]
+    /// Events between the last one and this one are missing.
+    #[error("a gap between event {last} and event {number}")]
     Gap {
-        /// Number of the event that follows.
-        expected: u64,
+        /// Number of the last event.
+        last: u64,
         /// Number of this event.
         number: u64,
     },
-    /// It has no number, unlike those before.
+    /// It has no number, unlike those of the part before.
     #[error("an event without a number after event {last}")]
     Unnumbered {
         /// Number of the last event.
@@ -107,12 +107,17 @@
     /// Moves on by an event with this identifier. The position stays if it is out of turn.
     pub fn advance(&mut self, id: Option<&str>) -> Result<(), OutOfTurn> {
         let number = id.and_then(parse);
-        if let Some(last) = self.last {
-            let number = number.ok_or(OutOfTurn::Unnumbered { last })?;
-            self.check(last, number)?;
-            if !self.is_at_part_start {
-                self.observe(number - last);
+        match (self.last, number) {
+            (Some(last), None) if self.is_at_part_start => {
+                return Err(OutOfTurn::Unnumbered { last });
+            }
+            (Some(last), Some(number)) => {
+                self.check(last, number)?;
+                if !self.is_at_part_start {
+                    self.observe(number - last);
+                }
             }
+            _ => {}
         }
         self.is_unnamed = id.is_none();
         if let Some(id) = id {
@@ -134,13 +139,15 @@
         if number <= last {
             return Err(OutOfTurn::Repeated { last, number });
         }
-        match self.step.unwrap_or(self.usual) {
-            Step::Even(step) if self.is_at_part_start && number - last != step => {
-                let expected = last.saturating_add(step);
-                Err(OutOfTurn::Gap { expected, number })
-            }
-            _ => Ok(()),
+        let rise = Step::Even(number - last);
+        let is_next = match self.step {
+            Some(step) => step == Step::Uneven || step == rise,
+            None => self.usual == Step::Uneven || rise == self.usual || rise == Step::default(),
+        };
+        if self.is_at_part_start && !is_next {
+            return Err(OutOfTurn::Gap { last, number });
         }
+        Ok(())
     }
 }
 
--- a/tests/direct_joining.rs
+++ b/tests/direct_joining.rs
@@ -128,10 +128,7 @@
     let mut numbering = Numbering::after(None, Step::default());
     assert_eq!(advance(&mut numbering, &["1", "2", "3"]), Ok(()));
     numbering.begin_part();
-    let gap = OutOfTurn::Gap {
-        expected: 4,
-        number: 5,
-    };
+    let gap = OutOfTurn::Gap { last: 3, number: 5 };
     assert_eq!(numbering.advance(Some("5")), Err(gap));
     assert_eq!(advance(&mut numbering, &["4", "9"]), Ok(()));
     assert_eq!(numbering.step(), Some(Step::Uneven));
@@ -142,6 +139,7 @@
         number: 30,
     };
     assert_eq!(numbering.advance(Some("30")), Err(repeated));
+    numbering.begin_part();
     let unnumbered = OutOfTurn::Unnumbered { last: 30 };
     assert_eq!(numbering.advance(None), Err(unnumbered));
     assert_eq!(numbering.last_id().map(CompactString::as_str), Some("30"));
@@ -183,7 +181,7 @@
     assert_eq!(usual.get("s"), Step::Even(1));
 }
 
-const STREAM: (&str, &str) = ("content-type", "text/event-stream; charset=utf-8");
+const STREAM: (&str, &str) = ("content-type", "Text/Event-Stream ; charset=utf-8");
 
 /// A status, headers, and whether they go on with a stream.
 type Head = (
