--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -392,10 +392,7 @@
             head += &format!("{name}: {value}\r\n");
         }
         if let Some(content_type) = answer.content_type() {
-            head += &format!(
-                "Content-Type: {content_type}
-"
-            );
+            head += &format!("Content-Type: {content_type}\r\n");
         }
         let pieces = answer.pieces(&self.life.version, after);
         let length: usize = pieces.iter().map(Vec::len).sum();
