--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod connection;
 mod life;
+mod request;
 mod script;
 
 use std::collections::BTreeSet;
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use super::life::{EndCause, Life};
+use super::request::Request;
 use super::{
     ANSWER_HEADER, ANSWER_PATH, Answer, Ending, Framing, HISTORY_PATH, Outcome, Overflow, Piece,
     Place, ReceivedRequest, Script, Shared, lock,
@@ -21,39 +22,6 @@
 /// Pause after each packet of a limited size.
 const PACKET_INTERVAL: Duration = Duration::from_micros(200);
 
-struct Request {
-    head: String,
-    body: Vec<u8>,
-}
-
-impl Request {
-    fn header(&self, name: &str) -> Option<&str> {
-        let lines = self.head.lines().skip(1);
-        let mut fields = lines.filter_map(|line| line.split_once(':'));
-        let found = fields.find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.trim())
-    }
-
-    /// The parts of the prompt, which a header lists as `ID:TOKENS` pairs.
-    fn parts(&self, header: &str) -> Vec<u64> {
-        let listed = self.header(header).unwrap_or_default().split(',');
-        let ids = listed.filter_map(|pair| pair.trim().split_once(':'));
-        ids.filter_map(|(id, _)| u64::from_str_radix(id, 16).ok())
-            .collect()
-    }
-
-    /// The event after which a stream goes on; 0 at its beginning.
-    fn last_event(&self) -> u64 {
-        let event = self.header("last-event-id").and_then(|id| id.parse().ok());
-        event.unwrap_or(0)
-    }
-
-    fn path(&self) -> &str {
-        let target = self.head.split(' ').nth(1).unwrap_or_default();
-        target.split('?').next().unwrap_or_default()
-    }
-}
-
 /// What becomes of a connection after an answer.
 enum Next {
     Keep,
