--- /dev/null
+++ b/review/stand-2/engine.rs
@@ -0,0 +1,180 @@
+//! A stand-in for an engine: a process of its own, which answers as the target of each request
+//! says and prints what it runs. It ends when it is killed.
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crate::http::{Reader, Received, respond};
+use crate::unix_ms;
+
+pub struct Engine {
+    pub id: String,
+    pub version: String,
+    /// Unix time of its start, as in its registration.
+    pub born: u64,
+    /// By how much the identifiers of its events rise.
+    pub step: u64,
+    /// Whether the requests that it turns away because it leaves bear `Server-Leaving`.
+    pub is_leaving: bool,
+    pub running: AtomicUsize,
+}
+
+const SLOTS: usize = 48;
+/// An engine cuts off a response that remains unread for some seconds.
+const UNREAD_TIME: Duration = Duration::from_secs(5);
+
+struct Slot<'a>(&'a AtomicUsize);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Engine {
+    /// Serves until the process is killed.
+    pub fn run(self, address: &str) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address)?;
+        let engine = Arc::new(self);
+        println!("{} {} listens", unix_ms(), engine.id);
+        for stream in listener.incoming().flatten() {
+            let engine = engine.clone();
+            std::thread::spawn(move || engine.serve(stream));
+        }
+        Ok(())
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_write_timeout(Some(UNREAD_TIME));
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = Reader::new(stream);
+        while let Some(req) = reader.request() {
+            if !self.answer(&req, &mut writer) {
+                return;
+            }
+        }
+    }
+
+    /// Takes one of the 48 slots of its registration until the guard is dropped.
+    fn take_slot(&self) -> Option<Slot<'_>> {
+        let before = self.running.fetch_add(1, Ordering::AcqRel);
+        let slot = Slot(&self.running);
+        (before < SLOTS).then_some(slot)
+    }
+
+    /// Answers a request. Returns whether the connection takes another one.
+    fn answer(&self, req: &Received, out: &mut TcpStream) -> bool {
+        match req.path() {
+            "/healthz" => {
+                let headers = format!("Rattanstall-Instance-Id: {}\r\n", self.id);
+                return respond(out, 200, &headers, b"ok");
+            }
+            "/rattanstall/report" => {
+                let report = format!(
+                    "{{\"Stage\":\"both\",\"Models\":[{{\"Name\":\"m0\",\"Version\":1,\"Adapters\":[]}}],\
+                     \"Busy\":false,\"Seq\":0,\"Waiting\":0,\"Running\":0,\"KvUsed\":0,\
+                     \"KvTotal\":164235,\"Handles\":0,\"born\":{}}}",
+                    self.born
+                );
+                return respond(out, 200, "", report.as_bytes());
+            }
+            "/rattanstall/order" => return respond(out, 200, "", b"{}"),
+            _ => {}
+        }
+        let id = req.header("Rattanstall-Request-Id").to_owned();
+        let expected = req.header("Rattanstall-Expect-Instance");
+        if !expected.is_empty() && expected != self.id {
+            let headers = format!("Rattanstall-Instance-Id: {}\r\n", self.id);
+            return respond(out, 421, &headers, b"");
+        }
+        let Some(_slot) = self.take_slot() else {
+            return respond(out, 503, "Rattanstall-Not-Run: 1\r\n", b"");
+        };
+        let tenant = req.header("Rattanstall-Tenant");
+        println!(
+            "{} {} runs {id} {} {} after={} tenant={tenant}",
+            unix_ms(),
+            self.id,
+            req.method,
+            req.target,
+            req.header("Last-Event-Id")
+        );
+        std::thread::sleep(Duration::from_millis(req.number("work", 0)));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {id}\r\n\
+             Rattanstall-Server-Stamp: stamp-{}\r\n{}",
+            self.id,
+            if self.is_leaving {
+                "Server-Leaving: 1\r\n"
+            } else {
+                ""
+            }
+        );
+        let is_done = match req.number("events", 0) {
+            0 => self.write_body(req, &head, out),
+            events => self.write_events(req, &head, events, out),
+        };
+        let what = if is_done { "completes" } else { "breaks off" };
+        println!("{} {} {what} {id}", unix_ms(), self.id);
+        is_done && req.query("frame") != "close"
+    }
+
+    /// A body of a number of bytes, written in ten pieces with a pause between two.
+    fn write_body(&self, req: &Received, head: &str, out: &mut TcpStream) -> bool {
+        let bytes = req.number("bytes", 800) as usize;
+        let pause = Duration::from_millis(req.number("pause", 0));
+        let length = match req.query("frame").as_str() {
+            "close" => String::new(),
+            _ => format!("Content-Length: {bytes}\r\n"),
+        };
+        let head = format!("{head}Content-Type: application/octet-stream\r\n{length}\r\n");
+        if out.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        let body: Vec<u8> = (0..bytes).map(|n| b'a' + (n % 26) as u8).collect();
+        for piece in body.chunks(bytes.div_ceil(10).max(1)) {
+            if out.write_all(piece).is_err() {
+                return false;
+            }
+            std::thread::sleep(pause);
+        }
+        true
+    }
+
+    /// A stream of events, after the one that the request names.
+    fn write_events(&self, req: &Received, head: &str, events: u64, out: &mut TcpStream) -> bool {
+        let gap = Duration::from_millis(req.number("gap", 0));
+        let is_chunked = req.query("frame") != "close";
+        let framing = match is_chunked {
+            true => "Transfer-Encoding: chunked\r\n",
+            false => "",
+        };
+        let head = format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n");
+        if out.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        let after: u64 = req.header("Last-Event-Id").parse().unwrap_or(0);
+        for number in after / self.step + 1..=events {
+            std::thread::sleep(gap);
+            let event = format!(
+                "id: {}\ndata: {}:{number}\n\n",
+                number * self.step,
+                self.version
+            );
+            let bytes = match is_chunked {
+                true => format!("{:x}\r\n{event}\r\n", event.len()),
+                false => event,
+            };
+            if out.write_all(bytes.as_bytes()).is_err() {
+                return false;
+            }
+        }
+        !is_chunked || out.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
