--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -5,8 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Answer, End, Reading, exchange};
-use crate::world::{EngineProcess, EngineSpec, TERM, Trouble, World, config, request};
+use crate::engine::CRASHING_PART;
+use crate::http::{Answer, End, exchange};
+use crate::world::{EngineProcess, EngineSpec, Trouble, World, config, request};
 
 pub fn run(name: &str, record: &str, has_trouble: bool) -> Result<bool, Trouble> {
     let world = World::start(&config("tenant-one"))?;
@@ -14,8 +15,8 @@
         "left-stream" => left_stream(&world, has_trouble),
         "taken-up" => taken_up(&world, has_trouble),
         "stale-view" => stale_view(&world, has_trouble),
-        "slow-reader" => slow_reader(&world, has_trouble),
         "reborn" => reborn(&world, has_trouble),
+        "wrong-block" => wrong_block(&world, has_trouble),
         _ => Err(format!("no case {name}")),
     };
     if let Ok(held) = held {
@@ -31,64 +32,6 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
-/// Gateways get SIGTERM while consumers read their answers slowly. Which answer is cut depends
-/// on its size, so that each gateway has one of another size.
-fn slow_reader(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let _engine = world.engine(EngineSpec::new("i-app1", "app", 11))?;
-    let start = |n: u8| world.gateway(&format!("g{n}"), 1 + n);
-    let mut gateways = (1..=6).map(start).collect::<Result<Vec<_>, _>>()?;
-    pause(4_000);
-    let reading = Reading {
-        bytes_per_s: 100_000,
-        buffer: 16_384,
-        ..Reading::default()
-    };
-    let began = Instant::now();
-    let readers: Vec<_> = gateways
-        .iter()
-        .enumerate()
-        .map(|(n, gateway)| {
-            let (to, id) = (gateway.callers, format!("q-g{}", n + 1));
-            let bytes = 530_000 + 25_000 * n;
-            let text = request("safe", &format!("bytes={bytes}"), &id, 10_000, "");
-            world.note_request(&id, &text);
-            thread::spawn(move || (id, bytes, exchange(to, &text, reading)))
-        })
-        .collect();
-    pause(500);
-    if has_trouble {
-        gateways.iter().for_each(|g| g.process.signal(TERM));
-        world.note("SIGTERM to all gateways");
-    }
-    let mut has_ended = [false; 6];
-    while !readers.iter().all(|reader| reader.is_finished()) {
-        for (n, gateway) in gateways.iter_mut().enumerate() {
-            if !has_ended[n] && gateway.process.has_ended() {
-                has_ended[n] = true;
-                let at = began.elapsed().as_millis().saturating_sub(500);
-                world.note(format!(
-                    "gateway g{} has ended, {at} ms after SIGTERM",
-                    n + 1
-                ));
-            }
-        }
-        pause(10);
-    }
-    let mut held = true;
-    for reader in readers {
-        let (id, bytes, answer) = reader.join().map_err(|_| "a client panicked")?;
-        let is_whole =
-            answer.status == 200 && answer.end == End::Complete && answer.body.len() == bytes;
-        held &= is_whole;
-        let what = if is_whole { "whole" } else { "CUT" };
-        world.note(format!(
-            "client: {id} of {bytes} bytes, {} {what}",
-            answer.summary()
-        ));
-    }
-    Ok(held)
-}
-
 /// Engines leave and are gone while they write streams without a length.
 fn left_stream(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
     let leaver = world.engine(EngineSpec::new("i-llm1", "llm", 11))?;
@@ -103,7 +46,7 @@
             let query = "events=50&gap=100&frame=close";
             let text = request(route, query, &id, 12_000, "");
             world.note_request(&id, &text);
-            thread::spawn(move || (id, exchange(to, &text, Reading::default())))
+            thread::spawn(move || (id, exchange(to, &text)))
         })
         .collect();
     pause(500);
@@ -150,7 +93,7 @@
             let id = format!("q-a{n}");
             let text = request("resumed", "events=40&gap=100", &id, 12_000, "");
             world.note_request(&id, &text);
-            thread::spawn(move || (id, exchange(from, &text, Reading::default())))
+            thread::spawn(move || (id, exchange(from, &text)))
         })
         .collect();
     pause(1_500);
@@ -174,9 +117,7 @@
         let retry = format!("{id}-again");
         let text = request("resumed", "events=40&gap=100", &retry, 9_000, &more);
         world.note_request(&format!("{retry} after {last}"), &text);
-        retries.push(thread::spawn(move || {
-            (retry, last, exchange(to, &text, Reading::default()))
-        }));
+        retries.push(thread::spawn(move || (retry, last, exchange(to, &text))));
     }
     for retry in retries {
         let (id, last, answer) = retry.join().map_err(|_| "a client panicked")?;
@@ -194,7 +135,7 @@
             let text = request("resumed", "events=5&gap=20", &id, 9_000, "");
             pause(50);
             world.note_request(&id, &text);
-            thread::spawn(move || exchange(to, &text, Reading::default()))
+            thread::spawn(move || exchange(to, &text))
         })
         .collect();
     let mut begun = 0;
@@ -253,7 +194,7 @@
                     world.note_request(&id, &text);
                     clients.push(thread::spawn(move || {
                         let sent = crate::unix_ms();
-                        (id, sent, exchange(to, &text, Reading::default()))
+                        (id, sent, exchange(to, &text))
                     }));
                     pause(10);
                 }
@@ -352,7 +293,7 @@
                 while !is_over.load(Ordering::Acquire) {
                     let id = format!("q-o{n}-{}", ended.len());
                     let text = request("resumed", "events=10&gap=50", &id, 12_000, "");
-                    let answer = exchange(to, &text, Reading::default());
+                    let answer = exchange(to, &text);
                     if answer.status != 200 {
                         // Consumers wait as they are told.
                         pause(1_000);
@@ -370,7 +311,7 @@
             let text = request("resumed", "events=110&gap=100", &id, 12_000, "");
             world.note_request(&id, &text);
             pause(20);
-            thread::spawn(move || (id, exchange(to, &text, Reading::default())))
+            thread::spawn(move || (id, exchange(to, &text)))
         })
         .collect();
     if has_trouble {
@@ -421,3 +362,133 @@
     world.note(format!("{mixed} streams hold events of two versions"));
     Ok(mixed <= 2)
 }
+
+/// A tenant goes over to a new first part. The first three requests with it have a part that
+/// crashes engines; sound ones, which share the first part with them, follow a second later.
+fn wrong_block(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
+    let mut next_id = 0;
+    let mut spec = |host: u8, is_empty| {
+        next_id += 1;
+        EngineSpec {
+            is_empty,
+            ..EngineSpec::new(&format!("i-llm{next_id}"), "llm", host)
+        }
+    };
+    let mut engines = (0..8)
+        .map(|n| Ok((11 + n, world.engine(spec(11 + n, false))?, None)))
+        .collect::<Result<Vec<(u8, EngineProcess, Option<Instant>)>, Trouble>>()?;
+    let gateways = [
+        world.gateway("g1", 2)?,
+        world.gateway("g2", 3)?,
+        world.gateway("g3", 4)?,
+    ];
+    let all: Vec<&EngineProcess> = engines.iter().map(|(_, e, _)| e).collect();
+    world.beat(&all, Duration::from_secs(4));
+    let addresses = gateways.each_ref().map(|g| g.callers);
+    let send = |n: usize, id: String, shared: &str| {
+        let prompt = format!("Rattanstall-Prompt-Prefix: {shared},{:x}:628", 4096 + n);
+        let text = request("stream", "events=10&gap=40", &id, 8_000, "");
+        let text: Vec<&str> = text.split("\r\n").collect();
+        let is_prompt = |line: &&str| line.starts_with("Rattanstall-Prompt-Prefix");
+        let text: Vec<&str> = text
+            .iter()
+            .map(|line| {
+                if is_prompt(line) {
+                    prompt.as_str()
+                } else {
+                    line
+                }
+            })
+            .collect();
+        let (text, to) = (text.join("\r\n"), addresses[n % 3]);
+        world.note(format!("client: {id} sends {prompt}"));
+        let sent = crate::unix_ms();
+        thread::spawn(move || (id, sent, exchange(to, &text)))
+    };
+    let (old_first, new_first) = ("a11ce000:198", "a11ce001:198");
+    let with_part = format!("{new_first},{CRASHING_PART}:120");
+    let mut sound = Vec::new();
+    for n in 0..40 {
+        sound.push(send(n, format!("q-before{n}"), old_first));
+        if n % 10 == 9 {
+            engines
+                .iter()
+                .for_each(|(_, e, _)| world.register(e, "ready", ""));
+        }
+        pause(125);
+    }
+    pause(1_000);
+    let changed = crate::unix_ms();
+    let began = Instant::now();
+    let at = |ms: u64| began.elapsed() >= Duration::from_millis(ms);
+    let mut crashing = Vec::new();
+    let mut n = 100;
+    while !at(20_000) {
+        n += 1;
+        let now = began.elapsed().as_millis() as u64;
+        // Three at first, then one in about 1.5 s.
+        let is_due = match crashing.len() {
+            0..=2 => now >= 100 * crashing.len() as u64,
+            more => now >= 1_500 * (more as u64 - 1) && now < 14_000,
+        };
+        if has_trouble && is_due {
+            crashing.push(send(n, format!("q-crash{}", crashing.len()), &with_part));
+        }
+        if now >= 1_000 && sound.len() < 40 + ((now - 1_000) / 125) as usize {
+            sound.push(send(n, format!("q-sound{}", sound.len() - 40), new_first));
+        }
+        for (host, engine, gone) in &mut engines {
+            if gone.is_none() && engine.process.has_ended() {
+                *gone = Some(Instant::now());
+            }
+            let is_back = gone.is_some_and(|at| at.elapsed() > Duration::from_secs(3));
+            if is_back {
+                world.store.remove(&format!("servers/{}", engine.id));
+                (*engine, *gone) = (world.engine(spec(*host, true))?, None);
+            } else if gone.is_none() && n % 60 == 0 {
+                world.register(engine, "ready", "");
+            }
+        }
+        pause(20);
+    }
+    let mut last_crash = 0;
+    for (at, line) in world.noted() {
+        if line.contains(" crashes under ") {
+            last_crash = last_crash.max(at);
+        }
+    }
+    let last_part = crashing.len();
+    let mut until = 0;
+    for client in crashing {
+        let (id, sent, answer) = client.join().map_err(|_| "a client panicked")?;
+        until = until.max(sent);
+        world.note(format!("client: {id} {}", answer.summary()));
+    }
+    let (mut within, mut began_within, mut outside, mut began_outside, mut denied) =
+        (0, 0, 0, 0, 0);
+    let count = sound.len();
+    for client in sound {
+        let (id, sent, answer) = client.join().map_err(|_| "a client panicked")?;
+        let has_begun = !answer.events().is_empty();
+        denied += usize::from((400..500).contains(&answer.status) && answer.status != 429);
+        if has_trouble && sent > last_crash + 6_000 && sent <= until {
+            within += 1;
+            began_within += usize::from(has_begun);
+        } else if sent < changed || sent > until + 3_000 {
+            outside += 1;
+            began_outside += usize::from(has_begun);
+        }
+        world.note(format!("client: {id} {}", answer.summary()));
+    }
+    world.note(format!(
+        "{last_part} requests with the part; sound ones: {denied} of {count} denied with a 4xx; from \
+         6 s after the last crash on {began_within} of {within} begin, outside {began_outside} of {outside}"
+    ));
+    let is_lost =
+        within >= 20 && outside >= 20 && 2 * began_within * outside < began_outside * within;
+    let is_denied = denied * 500 > 5 * 500 + count;
+    world.note(format!(
+        "LOST broken: {is_lost}, DENIED broken: {is_denied}"
+    ));
+    Ok(!is_lost && !is_denied)
+}
--- a/review/stand-2/engine.rs
+++ b/review/stand-2/engine.rs
@@ -168,6 +168,10 @@
             req.target,
             req.header("Last-Event-Id")
         );
+        if has_crashing_part(req.header("Rattanstall-Prompt-Prefix")) {
+            println!("{} {} crashes under {id}", unix_ms(), self.id);
+            std::process::exit(1);
+        }
         std::thread::sleep(Duration::from_millis(req.number("work", 0)));
         let head = format!(
             "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {id}\r\n\
@@ -236,3 +240,14 @@
         !is_chunked || out.write_all(b"0\r\n\r\n").is_ok()
     }
 }
+
+/// The part of a prompt that crashes each engine which begins to write an answer on it.
+pub const CRASHING_PART: &str = "bad0c0de";
+
+fn has_crashing_part(prefix: &str) -> bool {
+    let parts: Vec<&str> = prefix.split(',').collect();
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared
+        .iter()
+        .any(|part| part.split(':').next() == Some(CRASHING_PART))
+}
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -1,8 +1,7 @@
 //! Messages of HTTP/1.1 on plain sockets.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
-use std::os::fd::{AsRawFd, FromRawFd};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// A request as a server received it.
@@ -207,69 +206,11 @@
     }
 }
 
-/// How a client reads.
-#[derive(Clone, Copy)]
-pub struct Reading {
-    /// Bytes in a second; 0 for no bound.
-    pub bytes_per_s: usize,
-    /// The size of the receive buffer; 0 for the system's.
-    pub buffer: i32,
-    /// The longest time for the whole answer.
-    pub within: Duration,
-}
-
-impl Default for Reading {
-    fn default() -> Self {
-        Self {
-            bytes_per_s: 0,
-            buffer: 0,
-            within: Duration::from_secs(15),
-        }
-    }
-}
-
-unsafe extern "C" {
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
-    fn connect(fd: i32, address: *const u8, len: u32) -> i32;
-}
-
-const AF_INET: i32 = 2;
-const SOCK_STREAM: i32 = 1;
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
-
-/// Connects with a receive buffer of this size, which has to be set before.
-fn connect_with_buffer(to: SocketAddrV4, size: i32) -> std::io::Result<TcpStream> {
-    let mut address = [0; 16];
-    address[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
-    address[2..4].copy_from_slice(&to.port().to_be_bytes());
-    address[4..8].copy_from_slice(&Ipv4Addr::octets(to.ip()));
-    // Plain calls of the system's C library with buffers that outlive them.
-    unsafe {
-        let fd = socket(AF_INET, SOCK_STREAM, 0);
-        if fd < 0 {
-            return Err(std::io::Error::last_os_error());
-        }
-        let stream = TcpStream::from_raw_fd(fd);
-        setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &size, 4);
-        match connect(fd, address.as_ptr(), 16) {
-            0 => Ok(stream),
-            _ => Err(std::io::Error::last_os_error()),
-        }
-    }
-}
-
-/// Connects to a server.
-pub fn open(to: SocketAddr, reading: Reading) -> std::io::Result<TcpStream> {
-    match (reading.buffer, to) {
-        (0, _) | (_, SocketAddr::V6(_)) => TcpStream::connect(to),
-        (size, SocketAddr::V4(to)) => connect_with_buffer(to, size),
-    }
-}
+/// The longest time for a whole answer.
+const READ_TIME: Duration = Duration::from_secs(15);
 
 /// Sends a request on a new connection and reads the answer.
-pub fn exchange(to: SocketAddr, request: &str, reading: Reading) -> Answer {
+pub fn exchange(to: SocketAddr, request: &str) -> Answer {
     let began = Instant::now();
     let failed = |end| Answer {
         status: 0,
@@ -278,29 +219,25 @@
         end,
         took: began.elapsed(),
     };
-    let Ok(mut stream) = open(to, reading) else {
+    let Ok(mut stream) = TcpStream::connect(to) else {
         return failed(End::Cut);
     };
     if stream.write_all(request.as_bytes()).is_err() {
         return failed(End::Reset);
     }
-    receive(&mut stream, reading)
+    receive(&mut stream)
 }
 
 /// Reads an answer to its end.
-pub fn receive(stream: &mut TcpStream, reading: Reading) -> Answer {
+fn receive(stream: &mut TcpStream) -> Answer {
     let began = Instant::now();
     let mut bytes = Vec::new();
-    let piece = match reading.bytes_per_s {
-        0 => 16_384,
-        rate => (rate / 50).max(1),
-    };
-    let mut buf = vec![0; piece];
+    let mut buf = [0; 16_384];
     let end = loop {
         if let Some(parsed) = parse(&bytes, began).filter(|p| p.end == End::Complete) {
             return parsed;
         }
-        let left = reading.within.saturating_sub(began.elapsed());
+        let left = READ_TIME.saturating_sub(began.elapsed());
         if left.is_zero() {
             break End::Silent;
         }
@@ -311,9 +248,6 @@
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => break End::Reset,
             Err(_) => break End::Silent,
         }
-        if reading.bytes_per_s > 0 {
-            std::thread::sleep(Duration::from_millis(20));
-        }
     };
     let Some(parsed) = parse(&bytes, began) else {
         return Answer {
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -15,7 +15,6 @@
 use crate::unix_ms;
 
 unsafe extern "C" {
-    fn kill(process: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
@@ -33,7 +32,6 @@
     }
 }
 
-pub const TERM: i32 = 15;
 const ENGINE_PORT: u16 = 8_668;
 
 /// Why a case could not run.
@@ -53,13 +51,6 @@
 }
 
 impl Process {
-    pub fn signal(&self, signal: i32) {
-        // The child has not been waited for, so that its number is still its own.
-        unsafe {
-            kill(self.child.id() as i32, signal);
-        }
-    }
-
     /// Kills it with SIGKILL.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
