--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -252,7 +252,7 @@
 }
 
 /// Streams that run at the gateway which the store turns away.
-const STREAMS: usize = 40;
+const STREAMS: usize = 64;
 
 /// The software versions of a stream's events, in their order.
 fn versions_of(events: &[(u64, String)]) -> Vec<&str> {
