--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -34,13 +34,16 @@
 
 /// Engines leave and are gone while they write streams without a length.
 fn left_stream(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let leaver = world.engine(EngineSpec::new("i-llm1", "llm", 11))?;
+    // One engine of seven leaves.
+    let start = |n: u8| world.engine(EngineSpec::new(&format!("i-llm{n}"), "llm", 10 + n));
+    let mut engines = (1..=7).map(start).collect::<Result<Vec<_>, _>>()?;
     let gateway = world.gateway("g1", 2)?;
-    pause(1_500);
+    let all: Vec<&EngineProcess> = engines.iter().collect();
+    world.beat(&all, Duration::from_millis(1_500));
     let to = gateway.callers;
     let clients: Vec<_> = ["stream", "resumed"]
         .iter()
-        .flat_map(|route| (0..4).map(move |n| (*route, n)))
+        .flat_map(|route| (0..28).map(move |n| (*route, n)))
         .map(|(route, n)| {
             let id = format!("q-{route}-{n}");
             let query = "events=50&gap=100&frame=close";
@@ -50,12 +53,12 @@
         })
         .collect();
     pause(500);
-    let _other = world.engine(EngineSpec::new("i-llm2", "llm", 12))?;
-    let mut leaver = leaver;
+    let mut leaver = engines.remove(0);
+    let staying: Vec<&EngineProcess> = engines.iter().collect();
     if has_trouble {
         world.register(&leaver, "draining", ",\"RemainingMs\":2000");
         world.note("engine i-llm1 reports draining, RemainingMs 2000");
-        pause(2_000);
+        world.beat(&staying, Duration::from_millis(2_000));
         leaver.process.kill();
         world.store.remove("servers/i-llm1");
         world.note("engine i-llm1 is gone");
@@ -86,6 +89,10 @@
     let second = world.engine(spec("i-llm2", 12))?;
     let mut a = world.gateway("g1", 2)?;
     let b = world.gateway("g2", 3)?;
+    // One gateway of four is killed.
+    let _others = (3..=4)
+        .map(|n: u8| world.gateway(&format!("g{n}"), 20 + n))
+        .collect::<Result<Vec<_>, _>>()?;
     world.beat(&[&first, &second], Duration::from_millis(4_000));
     let (from, to) = (a.callers, b.callers);
     let streams: Vec<_> = (0..16)
@@ -151,7 +158,7 @@
 }
 
 const ENGINES: usize = 40;
-const LEAVING: usize = 6;
+const LEAVING: usize = 5;
 /// `DrainMs` of the settings.
 const DRAIN_MS: u64 = 2_000;
 
