--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -167,95 +167,88 @@
     let start = |n: usize| world.engine(EngineSpec::new(&format!("i-app{n}"), "app", 11 + n as u8));
     let mut engines = (0..ENGINES).map(start).collect::<Result<Vec<_>, _>>()?;
     let gateways = [world.gateway("g1", 2)?, world.gateway("g2", 3)?];
-    let mut is_broken = false;
-    for round in 1..=5 {
-        let all: Vec<&EngineProcess> = engines.iter().collect();
-        world.beat(&all, Duration::from_millis(4_000));
-        if has_trouble {
-            world.store.set_silent(true);
-            world.note("the store is silent");
-            pause(2_000);
-            world.store.set_silent(false);
-            world.note("the store answers again");
-        }
-        // The core is stable, and the gateways are in touch, after StableWindowMs.
-        world.beat(&all, Duration::from_millis(3_200));
-        let staying = engines.split_off(LEAVING);
-        let leaving = std::mem::replace(&mut engines, staying);
-        for engine in &leaving {
-            world.register(engine, "draining", "");
-        }
-        let acked = crate::unix_ms();
-        world.note(format!(
-            "{LEAVING} engines report draining, and the store has acked it"
-        ));
-        let clients = thread::scope(|scope| {
-            let staying: Vec<&EngineProcess> = engines.iter().collect();
-            scope.spawn(move || world.beat(&staying, Duration::from_millis(4_400)));
-            let clients = scope.spawn(|| {
-                let mut clients = Vec::new();
-                for n in 0..400 {
-                    let to = gateways[n % 2].callers;
-                    let id = format!("q-{round}-{n}");
-                    let text = request("unsafe", "work=300", &id, 1_500, "");
-                    world.note_request(&id, &text);
-                    clients.push(thread::spawn(move || {
-                        let sent = crate::unix_ms();
-                        (id, sent, exchange(to, &text))
-                    }));
-                    pause(10);
-                }
-                clients
-            });
-            // They serve for DrainMs and a little longer, and exit.
-            pause(DRAIN_MS + 1_500);
-            drop(leaving);
-            world.note("the engines that left have exited");
-            clients.join()
-        });
-        let mut failed = Vec::new();
-        for client in clients.map_err(|_| "a client panicked")? {
-            let (id, sent, answer) = client.join().map_err(|_| "a client panicked")?;
-            if answer.status != 200 || answer.end != End::Complete {
-                world.note(format!(
-                    "client: {id}, sent {} ms after the ack, {}",
-                    sent.saturating_sub(acked),
-                    answer.summary()
-                ));
-                failed.push(id);
-            }
-        }
-        pause(200);
-        let mut late = 0;
-        for (at, line) in world.noted() {
-            let mut words = line.split(' ').skip(1);
-            let (engine, verb, id) = (words.next(), words.next(), words.next());
-            let left = (0..LEAVING).map(|n| format!("i-app{}", n + (round - 1) * LEAVING));
-            let is_left = left.into_iter().any(|id| Some(id.as_str()) == engine);
-            let is_late = at > acked + DRAIN_MS;
-            if verb == Some("runs") && is_left && is_late && line.contains(&format!("q-{round}-")) {
-                late += 1;
-                let is_lost = failed.iter().any(|f| Some(f.as_str()) == id);
-                let lost = if is_lost { ", and is LOST with it" } else { "" };
-                world.note(format!(
-                    "LATE: {} reached {} {} ms after the ack{lost}",
-                    id.unwrap_or_default(),
-                    engine.unwrap_or_default(),
-                    at - acked
-                ));
+    let all: Vec<&EngineProcess> = engines.iter().collect();
+    world.beat(&all, Duration::from_millis(4_000));
+    if has_trouble {
+        world.store.set_silent(true);
+        world.note("the store is silent");
+        pause(2_000);
+        world.store.set_silent(false);
+        world.note("the store answers again");
+    }
+    // The core is stable, and the gateways are in touch, after StableWindowMs.
+    world.beat(&all, Duration::from_millis(3_200));
+    let staying = engines.split_off(LEAVING);
+    let leaving = std::mem::replace(&mut engines, staying);
+    for engine in &leaving {
+        world.register(engine, "draining", "");
+    }
+    let acked = crate::unix_ms();
+    world.note(format!(
+        "{LEAVING} engines report draining, and the store has acked it"
+    ));
+    let clients = thread::scope(|scope| {
+        let staying: Vec<&EngineProcess> = engines.iter().collect();
+        scope.spawn(move || world.beat(&staying, Duration::from_millis(4_400)));
+        let clients = scope.spawn(|| {
+            let mut clients = Vec::new();
+            for n in 0..400 {
+                let to = gateways[n % 2].callers;
+                let id = format!("q-{n}");
+                let text = request("unsafe", "work=300", &id, 1_500, "");
+                world.note_request(&id, &text);
+                clients.push(thread::spawn(move || {
+                    let sent = crate::unix_ms();
+                    (id, sent, exchange(to, &text))
+                }));
+                pause(10);
             }
+            clients
+        });
+        // They serve for DrainMs and a little longer, and exit.
+        pause(DRAIN_MS + 1_500);
+        drop(leaving);
+        world.note("the engines that left have exited");
+        clients.join()
+    });
+    let mut failed = Vec::new();
+    for client in clients.map_err(|_| "a client panicked")? {
+        let (id, sent, answer) = client.join().map_err(|_| "a client panicked")?;
+        if answer.status != 200 || answer.end != End::Complete {
+            world.note(format!(
+                "client: {id}, sent {} ms after the ack, {}",
+                sent.saturating_sub(acked),
+                answer.summary()
+            ));
+            failed.push(id);
         }
-        world.note(format!(
-            "round {round}: {late} requests reached engines later than {DRAIN_MS} ms after their \
-             leaving was acked; {} requests failed",
-            failed.len()
-        ));
-        is_broken |= late > 0;
-        if is_broken {
-            break;
+    }
+    pause(200);
+    let mut late = 0;
+    for (at, line) in world.noted() {
+        let mut words = line.split(' ').skip(1);
+        let (engine, verb, id) = (words.next(), words.next(), words.next());
+        let left = (0..LEAVING).map(|n| format!("i-app{n}"));
+        let is_left = left.into_iter().any(|id| Some(id.as_str()) == engine);
+        let is_late = at > acked + DRAIN_MS;
+        if verb == Some("runs") && is_left && is_late {
+            late += 1;
+            let is_lost = failed.iter().any(|f| Some(f.as_str()) == id);
+            let lost = if is_lost { ", and is LOST with it" } else { "" };
+            world.note(format!(
+                "LATE: {} reached {} {} ms after the ack{lost}",
+                id.unwrap_or_default(),
+                engine.unwrap_or_default(),
+                at - acked
+            ));
         }
     }
-    Ok(!is_broken)
+    world.note(format!(
+        "{late} requests reached engines later than {DRAIN_MS} ms after their \
+         leaving was acked; {} requests failed",
+        failed.len()
+    ));
+    Ok(late == 0)
 }
 
 /// Streams that run at the gateway which the store turns away.
