--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -1,23 +1,21 @@
 //! The cases. Each returns whether the rule held.
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Answer, End, Reading, exchange, open, receive};
+use crate::http::{Answer, End, Reading, exchange};
 use crate::world::{EngineProcess, EngineSpec, TERM, Trouble, World, config, request};
 
 pub fn run(name: &str, record: &str, has_trouble: bool) -> Result<bool, Trouble> {
     let world = World::start(&config("tenant-one"))?;
     let held = match name {
-        "slow-reader" => slow_reader(&world, has_trouble),
         "left-stream" => left_stream(&world, has_trouble),
-        "whole-answer" => whole_answer(&world, has_trouble),
         "taken-up" => taken_up(&world, has_trouble),
         "stale-view" => stale_view(&world, has_trouble),
-        "unread" => unread(&world, has_trouble),
-        "stalled" => stalled(&world, has_trouble),
+        "slow-reader" => slow_reader(&world, has_trouble),
+        "reborn" => reborn(&world, has_trouble),
         _ => Err(format!("no case {name}")),
     };
     if let Ok(held) = held {
@@ -36,7 +34,7 @@
 /// Gateways get SIGTERM while consumers read their answers slowly. Which answer is cut depends
 /// on its size, so that each gateway has one of another size.
 fn slow_reader(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let _engine = world.engine(EngineSpec::new("i-app1", "app"), 11)?;
+    let _engine = world.engine(EngineSpec::new("i-app1", "app", 11))?;
     let start = |n: u8| world.gateway(&format!("g{n}"), 1 + n);
     let mut gateways = (1..=6).map(start).collect::<Result<Vec<_>, _>>()?;
     pause(4_000);
@@ -93,7 +91,7 @@
 
 /// Engines leave and are gone while they write streams without a length.
 fn left_stream(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let leaver = world.engine(EngineSpec::new("i-llm1", "llm"), 11)?;
+    let leaver = world.engine(EngineSpec::new("i-llm1", "llm", 11))?;
     let gateway = world.gateway("g1", 2)?;
     pause(1_500);
     let to = gateway.callers;
@@ -109,7 +107,7 @@
         })
         .collect();
     pause(500);
-    let _other = world.engine(EngineSpec::new("i-llm2", "llm"), 12)?;
+    let _other = world.engine(EngineSpec::new("i-llm2", "llm", 12))?;
     let mut leaver = leaver;
     if has_trouble {
         world.register(&leaver, "draining", ",\"RemainingMs\":2000");
@@ -135,45 +133,14 @@
     Ok(held)
 }
 
-/// An engine is killed while it writes an answer without a length.
-fn whole_answer(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let mut engine = world.engine(EngineSpec::new("i-app1", "app"), 11)?;
-    let gateway = world.gateway("g1", 2)?;
-    pause(1_000);
-    let to = gateway.callers;
-    let clients: Vec<_> = ["safe", "unsafe"]
-        .iter()
-        .map(|route| {
-            let id = format!("q-{route}");
-            let text = request(route, "bytes=8000&pause=200&frame=close", &id, 8_000, "");
-            thread::spawn(move || (id, exchange(to, &text, Reading::default())))
-        })
-        .collect();
-    pause(900);
-    if has_trouble {
-        engine.process.kill();
-        world.note("engine i-app1 is killed");
-    }
-    let mut held = true;
-    for client in clients {
-        let (id, answer): (String, Answer) = client.join().map_err(|_| "a client panicked")?;
-        let is_false =
-            answer.status == 200 && answer.end.looks_complete() && answer.body.len() < 8_000;
-        held &= !is_false;
-        let what = if is_false { "LOOKS COMPLETE" } else { "" };
-        world.note(format!("client: {id} {} {what}", answer.summary()));
-    }
-    Ok(held)
-}
-
 /// A gateway is killed, and consumers take their streams up at another one.
 fn taken_up(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let spec = |id: &str| EngineSpec {
+    let spec = |id: &str, host| EngineSpec {
         step: 6,
-        ..EngineSpec::new(id, "llm")
+        ..EngineSpec::new(id, "llm", host)
     };
-    let first = world.engine(spec("i-llm1"), 11)?;
-    let second = world.engine(spec("i-llm2"), 12)?;
+    let first = world.engine(spec("i-llm1", 11))?;
+    let second = world.engine(spec("i-llm2", 12))?;
     let mut a = world.gateway("g1", 2)?;
     let b = world.gateway("g2", 3)?;
     world.beat(&[&first, &second], Duration::from_millis(4_000));
@@ -249,7 +216,7 @@
 
 /// The store is silent for two seconds. Later, engines leave.
 fn stale_view(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let start = |n: usize| world.engine(EngineSpec::new(&format!("i-app{n}"), "app"), 11 + n as u8);
+    let start = |n: usize| world.engine(EngineSpec::new(&format!("i-app{n}"), "app", 11 + n as u8));
     let mut engines = (0..ENGINES).map(start).collect::<Result<Vec<_>, _>>()?;
     let gateways = [world.gateway("g1", 2)?, world.gateway("g2", 3)?];
     let mut is_broken = false;
@@ -343,115 +310,114 @@
     Ok(!is_broken)
 }
 
-const CROWD: usize = 250;
-/// `MemoryMb` of the smallest machines of souk-fes-grown.
-const MEMORY_MB: u32 = 120;
+/// Streams that run at the gateway which the store turns away.
+const STREAMS: usize = 40;
 
-/// Many consumers stop reading their answers half-way.
-fn unread(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let start = |n: usize| world.engine(EngineSpec::new(&format!("i-app{n}"), "app"), 11 + n as u8);
-    let _engines = (0..12).map(start).collect::<Result<Vec<_>, _>>()?;
-    let gateway = world.gateway_with_memory("g1", 2, MEMORY_MB)?;
-    pause(1_000);
-    let mut crowd = Vec::new();
-    for n in 0..CROWD {
-        let text = request("safe", "bytes=2000000", &format!("q-{n}"), 10_000, "");
-        let mut stream = TcpStream::connect(gateway.callers).map_err(|e| e.to_string())?;
-        stream
-            .write_all(text.as_bytes())
-            .map_err(|e| e.to_string())?;
-        match has_trouble {
-            true => crowd.push(stream),
-            false => drop(thread::spawn(move || {
-                receive(&mut stream, Reading::default())
-            })),
+/// The software versions of a stream's events, in their order.
+fn versions_of(events: &[(u64, String)]) -> Vec<&str> {
+    let mut versions: Vec<&str> = Vec::new();
+    for (_, data) in events {
+        let version = data.split(':').next().unwrap_or_default();
+        if versions.last() != Some(&version) {
+            versions.push(version);
         }
-        pause(3);
     }
-    let mut most = 0;
-    for _ in 0..20 {
-        let held = gateway.held_kb();
-        world.note(format!("{held:?}"));
-        most = most.max(held.resident + held.received);
-        pause(100);
-    }
-    world.note(format!(
-        "the gateway held {most} kB at most, of {MEMORY_MB},000 kB"
-    ));
-    Ok(most <= u64::from(MEMORY_MB) * 1_000)
+    versions
 }
 
-/// Consumers pause once, for two seconds, before they read on.
-fn stalled(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
-    let _engines = [
-        world.engine(EngineSpec::new("i-app1", "app"), 11)?,
-        world.engine(EngineSpec::new("i-app2", "app"), 12)?,
+/// Engines are restarted in turn with another software version, under their identifiers, while
+/// the store turns one gateway of three away.
+fn reborn(world: &World, has_trouble: bool) -> Result<bool, Trouble> {
+    let spec = |n: usize| EngineSpec::new(&format!("i-llm{n}"), "llm", 10 + n as u8);
+    let mut engines = (1..=4)
+        .map(|n| world.engine(spec(n)))
+        .collect::<Result<Vec<_>, _>>()?;
+    let gateways = [
+        world.gateway("g1", 2)?,
+        world.gateway("g2", 3)?,
+        world.gateway("g3", 4)?,
     ];
-    let gateway = world.gateway("g1", 2)?;
-    // The gateway is in touch after StableWindowMs.
-    pause(4_000);
-    // The usual buffers with a long answer, and small ones with an answer of the usual size.
-    let kinds = [(200_000, 0), (4_800, 2_048)];
-    let kinds = kinds.iter().flat_map(|kind| [*kind; 5]);
-    let to = gateway.callers;
-    let clients: Vec<_> = kinds
-        .enumerate()
-        .map(|(n, (bytes, buffer))| {
-            let id = format!("q-{n}");
-            pause(20);
-            world.note(format!(
-                "client: {id} sends a request, then POST /unsafe of {bytes} bytes"
-            ));
+    let beat = |engines: &[EngineProcess], ms| {
+        let engines: Vec<&EngineProcess> = engines.iter().collect();
+        world.beat(&engines, Duration::from_millis(ms));
+    };
+    beat(&engines, 4_000);
+    // Short streams run at all gateways all the time.
+    let is_over = Arc::new(AtomicBool::new(false));
+    let others: Vec<_> = (0..30)
+        .map(|n| {
+            let (to, is_over) = (gateways[n % 3].callers, is_over.clone());
             thread::spawn(move || {
-                (
-                    id.clone(),
-                    bytes,
-                    keep_and_stall(to, &id, bytes, buffer, has_trouble),
-                )
+                let mut ended = Vec::new();
+                while !is_over.load(Ordering::Acquire) {
+                    let id = format!("q-o{n}-{}", ended.len());
+                    let text = request("resumed", "events=10&gap=50", &id, 12_000, "");
+                    let answer = exchange(to, &text, Reading::default());
+                    if answer.status != 200 {
+                        // Consumers wait as they are told.
+                        pause(1_000);
+                    }
+                    ended.push((id, answer));
+                }
+                ended
             })
         })
         .collect();
-    let mut lost = 0;
-    for client in clients {
-        let (id, bytes, answers) = client.join().map_err(|_| "a client panicked")?;
-        let (first, answer) = answers.map_err(|e| e.to_string())?;
-        world.note(format!("client: {id}-first {}", first.summary()));
-        let is_whole =
-            answer.status == 200 && answer.end == End::Complete && answer.body.len() == bytes;
-        lost += usize::from(!is_whole);
-        let what = if is_whole { "whole" } else { "LOST" };
+    let to = gateways[2].callers;
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|n| {
+            let id = format!("q-{n}");
+            let text = request("resumed", "events=110&gap=100", &id, 12_000, "");
+            world.note_request(&id, &text);
+            pause(20);
+            thread::spawn(move || (id, exchange(to, &text, Reading::default())))
+        })
+        .collect();
+    if has_trouble {
+        gateways[2].way.store(true, Ordering::Release);
+        world.note("the store turns gateway g3 away");
+    }
+    // The lease of g3 lapses, and the others count it as gone.
+    beat(&engines, 3_500);
+    for n in [2, 3, 1] {
+        engines[n - 1].process.kill();
+        world.note(format!("engine i-llm{n} is stopped"));
+        pause(300);
+        engines[n - 1] = world.engine(EngineSpec {
+            version: "v2",
+            is_empty: true,
+            ..spec(n)
+        })?;
         world.note(format!(
-            "client: {id} of {bytes} bytes, {} {what}",
-            answer.summary()
+            "engine i-llm{n} is back at v2, empty, and registered"
         ));
+        // The leader lets it load the model.
+        beat(&engines, if n == 1 { 500 } else { 1_700 });
     }
-    world.note(format!(
-        "{lost} of 10 channels were closed without a whole answer"
-    ));
-    Ok(lost <= 3)
-}
-
-/// Sends a short request, then another one on the same channel, whose answer it begins to read
-/// after a pause.
-fn keep_and_stall(
-    to: SocketAddr,
-    id: &str,
-    bytes: usize,
-    buffer: i32,
-    stalls: bool,
-) -> std::io::Result<(Answer, Answer)> {
-    let reading = Reading {
-        buffer,
-        ..Reading::default()
-    };
-    let mut stream = open(to, reading)?;
-    let first = request("safe", "bytes=10", &format!("{id}-first"), 2_000, "");
-    stream.write_all(first.as_bytes())?;
-    let first = receive(&mut stream, reading);
-    let text = request("unsafe", &format!("bytes={bytes}"), id, 10_000, "");
-    stream.write_all(text.as_bytes())?;
-    if stalls {
-        pause(2_000);
+    gateways[2].way.store(false, Ordering::Release);
+    world.note("the store serves gateway g3");
+    beat(&engines, 2_500);
+    is_over.store(true, Ordering::Release);
+    let mut answers: Vec<(String, Answer)> = Vec::new();
+    for client in clients {
+        answers.push(client.join().map_err(|_| "a client panicked")?);
+    }
+    for other in others {
+        answers.extend(other.join().map_err(|_| "a client panicked")?);
+    }
+    let mut mixed = 0;
+    for (id, answer) in answers {
+        let events = answer.events();
+        let versions = versions_of(&events);
+        mixed += usize::from(versions.len() > 1);
+        let what = if versions.len() > 1 { "MIXED" } else { "" };
+        world.note(format!(
+            "client: {id} {}, {} events of {} {what}",
+            answer.summary(),
+            events.len(),
+            versions.join(", then ")
+        ));
     }
-    Ok((first, receive(&mut stream, reading)))
+    world.note(format!("{mixed} streams hold events of two versions"));
+    Ok(mixed <= 2)
 }
--- a/review/stand-2/engine.rs
+++ b/review/stand-2/engine.rs
@@ -3,11 +3,12 @@
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use crate::http::{Reader, Received, respond};
+use crate::json::Json;
 use crate::unix_ms;
 
 pub struct Engine {
@@ -17,11 +18,22 @@
     pub born: u64,
     /// By how much the identifiers of its events rise.
     pub step: u64,
-    /// Whether the requests that it turns away because it leaves bear `Server-Leaving`.
-    pub is_leaving: bool,
     pub running: AtomicUsize,
+    pub state: Mutex<State>,
 }
 
+/// The model that it holds, and the orders that it has accepted.
+#[derive(Default)]
+pub struct State {
+    pub holds: bool,
+    pub is_busy: bool,
+    pub seq: u64,
+    pub fence: u64,
+}
+
+/// `LoadS` of the model.
+const LOAD_TIME: Duration = Duration::from_millis(1_200);
+
 const SLOTS: usize = 48;
 /// An engine cuts off a response that remains unread for some seconds.
 const UNREAD_TIME: Duration = Duration::from_secs(5);
@@ -36,9 +48,9 @@
 
 impl Engine {
     /// Serves until the process is killed.
-    pub fn run(self, address: &str) -> std::io::Result<()> {
+    pub fn run(self: Arc<Self>, address: &str) -> std::io::Result<()> {
         let listener = TcpListener::bind(address)?;
-        let engine = Arc::new(self);
+        let engine = self;
         println!("{} {} listens", unix_ms(), engine.id);
         for stream in listener.incoming().flatten() {
             let engine = engine.clone();
@@ -47,7 +59,7 @@
         Ok(())
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_write_timeout(Some(UNREAD_TIME));
         let Ok(mut writer) = stream.try_clone() else {
@@ -61,6 +73,60 @@
         }
     }
 
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn report(&self) -> String {
+        let state = self.state();
+        let models = match state.holds {
+            true => "[{\"Name\":\"m0\",\"Version\":1,\"Adapters\":[]}]",
+            false => "[]",
+        };
+        format!(
+            "{{\"Stage\":\"both\",\"Models\":{models},\"Busy\":{},\"Seq\":{},\"Waiting\":0,\
+             \"Running\":{},\"KvUsed\":0,\"KvTotal\":164235,\"Handles\":0,\"born\":{}}}",
+            state.is_busy,
+            state.seq,
+            self.running.load(Ordering::Acquire),
+            self.born
+        )
+    }
+
+    /// Takes an order to load or unload the model. Returns the status.
+    fn order(self: &Arc<Self>, req: &Received) -> u16 {
+        let body = Json::parse(&String::from_utf8_lossy(&req.body)).unwrap_or(Json::Null);
+        let (operation, fence) = (body.get("Operation").text(), body.get("Fence").number());
+        let expected = req.header("Rattanstall-Expect-Instance");
+        let mut state = self.state();
+        let status = if !expected.is_empty() && expected != self.id {
+            421
+        } else if fence < state.fence {
+            412
+        } else if state.is_busy || body.get("Expected").number() != state.seq {
+            409
+        } else if state.holds == (operation == "load") {
+            200
+        } else {
+            202
+        };
+        state.fence = state.fence.max(fence);
+        if status == 202 {
+            state.is_busy = true;
+            state.seq += 1;
+            let (engine, holds) = (self.clone(), operation == "load");
+            std::thread::spawn(move || {
+                std::thread::sleep(LOAD_TIME);
+                let mut state = engine.state();
+                (state.is_busy, state.holds) = (false, holds);
+                let what = if holds { "holds" } else { "dropped" };
+                println!("{} {} {what} m0", unix_ms(), engine.id);
+            });
+        }
+        println!("{} {} order {operation} -> {status}", unix_ms(), self.id);
+        status
+    }
+
     /// Takes one of the 48 slots of its registration until the guard is dropped.
     fn take_slot(&self) -> Option<Slot<'_>> {
         let before = self.running.fetch_add(1, Ordering::AcqRel);
@@ -69,22 +135,14 @@
     }
 
     /// Answers a request. Returns whether the connection takes another one.
-    fn answer(&self, req: &Received, out: &mut TcpStream) -> bool {
+    fn answer(self: &Arc<Self>, req: &Received, out: &mut TcpStream) -> bool {
         match req.path() {
             "/healthz" => {
                 let headers = format!("Rattanstall-Instance-Id: {}\r\n", self.id);
                 return respond(out, 200, &headers, b"ok");
             }
-            "/rattanstall/report" => {
-                let report = format!(
-                    "{{\"Stage\":\"both\",\"Models\":[{{\"Name\":\"m0\",\"Version\":1,\"Adapters\":[]}}],\
-                     \"Busy\":false,\"Seq\":0,\"Waiting\":0,\"Running\":0,\"KvUsed\":0,\
-                     \"KvTotal\":164235,\"Handles\":0,\"born\":{}}}",
-                    self.born
-                );
-                return respond(out, 200, "", report.as_bytes());
-            }
-            "/rattanstall/order" => return respond(out, 200, "", b"{}"),
+            "/rattanstall/report" => return respond(out, 200, "", self.report().as_bytes()),
+            "/rattanstall/order" => return respond(out, self.order(req), "", b"{}"),
             _ => {}
         }
         let id = req.header("Rattanstall-Request-Id").to_owned();
@@ -93,6 +151,11 @@
             let headers = format!("Rattanstall-Instance-Id: {}\r\n", self.id);
             return respond(out, 421, &headers, b"");
         }
+        let holds = self.state().holds;
+        if !req.header("Rattanstall-Model").is_empty() && !holds {
+            let headers = format!("Rattanstall-Request-Id: {id}\r\nRattanstall-Not-Run: 1\r\n");
+            return respond(out, 421, &headers, b"");
+        }
         let Some(_slot) = self.take_slot() else {
             return respond(out, 503, "Rattanstall-Not-Run: 1\r\n", b"");
         };
@@ -108,13 +171,8 @@
         std::thread::sleep(Duration::from_millis(req.number("work", 0)));
         let head = format!(
             "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {id}\r\n\
-             Rattanstall-Server-Stamp: stamp-{}\r\n{}",
-            self.id,
-            if self.is_leaving {
-                "Server-Leaving: 1\r\n"
-            } else {
-                ""
-            }
+             Rattanstall-Server-Stamp: stamp-{}\r\n",
+            self.id
         );
         let is_done = match req.number("events", 0) {
             0 => self.write_body(req, &head, out),
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -10,9 +10,10 @@
 
 use std::process::ExitCode;
 use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use engine::Engine;
+use engine::{Engine, State};
 
 /// Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
@@ -24,15 +25,18 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match args[..] {
-        ["engine", address, id, version, born, step, says_leaving] => {
-            let engine = Engine {
+        ["engine", address, id, version, born, step, is_empty] => {
+            let engine = Arc::new(Engine {
                 id: id.to_owned(),
                 version: version.to_owned(),
                 born: born.parse().unwrap_or_default(),
                 step: step.parse().unwrap_or(1),
-                is_leaving: says_leaving == "true",
                 running: AtomicUsize::new(0),
-            };
+                state: Mutex::new(State {
+                    holds: is_empty != "true",
+                    ..State::default()
+                }),
+            });
             match engine.run(address) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(error) => {
@@ -53,7 +57,7 @@
             }
         }
         _ => {
-            eprintln!("stand case NAME RECORD | stand engine ADDRESS ID VERSION BORN STEP LEAVING");
+            eprintln!("stand case NAME RECORD | stand engine ADDRESS ID VERSION BORN STEP EMPTY");
             ExitCode::from(2)
         }
     }
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -38,6 +38,9 @@
     is_silent: AtomicBool,
 }
 
+/// A machine's way to the store, which turns it away if this is set.
+pub type Way = Arc<AtomicBool>;
+
 impl State {
     fn item(key: &str, entry: &Entry) -> String {
         let Entry {
@@ -96,19 +99,25 @@
 }
 
 impl Store {
-    /// Starts the store at a free port of an address.
-    pub fn start(address: SocketAddr) -> std::io::Result<Arc<Self>> {
+    /// An empty store.
+    pub fn new() -> Arc<Self> {
         let store = Arc::new(Self::default());
         store.state().revision = 100;
+        store
+    }
+
+    /// Serves the store at an address.
+    pub fn listen(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Way> {
+        let (store, way) = (self.clone(), Way::default());
         let listener = TcpListener::bind(address)?;
-        let shared = store.clone();
+        let shared_way = way.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = shared.clone();
-                std::thread::spawn(move || store.serve(stream));
+                let (store, way) = (store.clone(), shared_way.clone());
+                std::thread::spawn(move || store.serve(stream, &way));
             }
         });
-        Ok(store)
+        Ok(way)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -136,7 +145,7 @@
         self.is_silent.load(Ordering::Acquire)
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, way: &AtomicBool) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -144,14 +153,20 @@
         let mut reader = Reader::new(stream);
         while let Some(req) = reader.request() {
             let is_lost = self.is_silent();
-            let (status, body) = match is_lost {
-                true => (0, String::new()),
+            let is_refused = way.load(Ordering::Acquire);
+            let (status, body) = match is_lost || is_refused {
+                true => (503, "{}".to_owned()),
                 false => self.answer(&req),
             };
             if is_lost || self.is_silent() {
                 while reader.request().is_some() {}
                 return;
             }
+            // A watch that was waiting is turned away as well.
+            let (status, body) = match way.load(Ordering::Acquire) {
+                true => (503, "{}".to_owned()),
+                false => (status, body),
+            };
             let headers = "Content-Type: application/json\r\nStore-Era: 1\r\n";
             if !respond(&mut writer, status, headers, body.as_bytes()) {
                 return;
