Store: calls from before an outage are given up when it is over

Callers' requests, unsafe ones too, went to endpoints that had left, and were cut when these exited, for up to 10 s after the store had been silent for a second or two (DRAIN).

Cause: a watch that was sent into the silence waits for an answer that cannot come, for 11.5 s, and nothing related it to the renewals that failed and then succeeded.

Calls are numbered now. An answer to one that was sent after a lost one overtakes each open watch and read from before, which is sent again from the same revision. Watches of the registrations wait for DrainMs, as an outage may be too short to be seen by another call. registrations.stale, registrations.current and rattanstall_registrations_age_seconds show the age of the view.

--- a/src/direct/control.rs
+++ b/src/direct/control.rs
@@ -34,6 +34,7 @@
 use super::notices::NoticeBoard;
 use super::rate_owner::RateOwner;
 use super::rates::Rates;
+use super::registry::staleness::Staleness;
 use super::registry::{Registry, RegistryChange};
 use super::settings::{Bounds, Settings};
 use super::shares::Shares;
@@ -81,6 +82,7 @@
     cold: ColdTasks,
     acquaintances: Acquaintances,
     registry: Registry,
+    staleness: Staleness,
     members: Members,
     shares: Shares,
     rates: Rates,
@@ -148,6 +150,7 @@
             cold: ColdTasks::default(),
             acquaintances: Acquaintances::default(),
             registry: Registry::default(),
+            staleness: Staleness::default(),
             members: Members::new(settings.name.clone()),
             shares: Shares::default(),
             rates: Rates::default(),
@@ -396,6 +399,7 @@
         self.note_membership(now);
         self.relay_registry(now, out);
         self.seek_registrations(now, out);
+        self.note_registry_age(now);
         self.catch_up(now, out);
         self.campaign(now, out);
         self.repeat_needs(now, out);
--- a/src/direct/control/relayed.rs
+++ b/src/direct/control/relayed.rs
@@ -6,7 +6,11 @@
 use crate::clock::Millis;
 use crate::direct::dialect::Registration;
 use crate::direct::gossip::{Message, RegistryUpdate};
+use crate::direct::registry::staleness::AgeChange;
 use crate::direct::registry::{RegistryChange, RegistryPart};
+use crate::direct::store::WATCH_MARGIN;
+use crate::direct::sync::WATCH_TIMEOUT;
+use crate::journal;
 
 /// Number of gateways that are asked at once for what changed.
 const ASKED_GATEWAYS: usize = 3;
@@ -26,6 +30,8 @@
     pub fleet: Millis,
     /// Between two watches of the registrations.
     pub registry: Millis,
+    /// How long a watch of the registrations waits for changes.
+    pub registry_watch: Millis,
     /// The time over which the gateways spread their first reads when the store returns.
     pub return_spread: Millis,
 }
@@ -51,10 +57,17 @@
                 Some(_) => MIN_WATCH_PAUSE,
                 None => fleet,
             },
+            registry_watch: self.registry_watch_timeout(),
             return_spread: Millis(gateways * LISTS_PER_GATEWAY * 1_000 / MAX_LISTS_PER_S),
         }
     }
 
+    /// How long a watch of the registrations waits for changes. Its answer may be lost without
+    /// any other call that shows it, so that endpoints which leave stay unknown until it ends.
+    fn registry_watch_timeout(&self) -> Millis {
+        WATCH_TIMEOUT.min(self.settings.bounds.drain)
+    }
+
     /// Applies a full list of registrations from the store.
     pub(super) fn registrations_read(
         &mut self,
@@ -185,6 +198,32 @@
         ));
     }
 
+    /// How long ago the registrations were as this gateway knows them; `None` before the first
+    /// read.
+    pub fn registry_age(&self, now: Millis) -> Option<Millis> {
+        self.registry.is_known().then(|| self.registry.age(now))
+    }
+
+    /// Logs that the registrations are stale, or current again.
+    pub(super) fn note_registry_age(&mut self, now: Millis) {
+        let Some(age) = self.registry_age(now) else {
+            return;
+        };
+        let max_age = self.registry_watch_timeout() + WATCH_MARGIN;
+        let revision = self.registry.revision();
+        match self.staleness.update(age, max_age) {
+            Some(AgeChange::Stale) => journal::write(
+                "registrations.stale",
+                &[("age_ms", age.into()), ("revision", revision.into())],
+            ),
+            Some(AgeChange::Current(greatest)) => journal::write(
+                "registrations.current",
+                &[("was_ms", greatest.into()), ("revision", revision.into())],
+            ),
+            None => {}
+        }
+    }
+
     /// Answers a gateway that asks for what changed since a revision.
     pub(super) fn registrations_sought(
         &self,
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -78,6 +78,10 @@
     /// No response arrived; the call may have taken effect or may still do so.
     #[error("no response: {0}")]
     Unanswered(CompactString),
+    /// An outage of the store began after the call was sent, and is over. No response will
+    /// arrive any more.
+    #[error("no response: sent before an outage of the store that is over")]
+    Overtaken,
     /// The store came back from a copy while the call ran; it may have taken effect.
     #[error("the store came back from a copy")]
     Restored,
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -112,6 +112,9 @@
                 let until = control.current_until();
                 self.shared.set_current_until(until);
             }
+            if let Some(age) = control.registry_age(began).filter(|_| is_contact_due) {
+                self.shared.metrics.record_registrations_age(age);
+            }
             store.log_if_due(began);
             for effect in effects {
                 self.carry_out(&mut control, &calls, effect);
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -9,6 +9,8 @@
 //! How old the knowledge is goes with it from gateway to gateway: news that is handed
 //! round does not become fresh again.
 
+pub mod staleness;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -180,6 +182,16 @@
         now.since(self.known_at)
     }
 
+    /// Whether the store has been read, here or by the gateway that told of it.
+    pub fn is_known(&self) -> bool {
+        self.revision != 0
+    }
+
+    /// The revision up to which all changes are known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The parts of the update that the leader has to send now: none if no update is
     /// due or its knowledge is too old.
     pub fn take_updates(&mut self, now: Millis) -> Vec<RegistryPart> {
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -1,5 +1,7 @@
 //! A client for the platform's store.
 
+pub mod outages;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,12 +20,13 @@
 use crate::clock::Millis;
 use crate::journal;
 use crate::metrics::Metrics;
+use outages::{CallNumber, Outages};
 
 /// Timeout of a call. The store normally responds within milliseconds; a slower
 /// one is treated as unreachable.
 const CALL_TIMEOUT: Millis = Millis(1_200);
 /// How much longer than the requested wait a watch may take to respond.
-const WATCH_MARGIN: Millis = Millis(1_500);
+pub const WATCH_MARGIN: Millis = Millis(1_500);
 /// Maximum number of pages of one range read. A page of the store holds 500 items,
 /// and the system is designed for 12,000 endpoints.
 const MAX_PAGES: usize = 64;
@@ -69,6 +72,8 @@
     watches: RefCell<CallClient>,
     counts: Cell<CallCounts>,
     answered: Notify,
+    outages: Cell<Outages>,
+    outage_ended: Notify,
     events: EventSender,
     /// The era that the store stated last; 0 before that.
     era: Cell<u64>,
@@ -92,6 +97,8 @@
             watches: RefCell::new(CallClient::new(address, CALL_LIMITS)),
             counts: Cell::default(),
             answered: Notify::new(),
+            outages: Cell::default(),
+            outage_ended: Notify::new(),
             events,
             era: Cell::new(0),
             was_restored: Cell::new(false),
@@ -192,8 +199,10 @@
             return Err(StoreError::Compacted);
         }
         let req = self.dialect.watch(prefix, revision_of(after), wait);
-        let result = call(&self.watches, req, wait + WATCH_MARGIN).await;
-        let res = self.receive(CallKind::Watch, result)?;
+        let number = self.number_call();
+        let sent = call(&self.watches, req, wait + WATCH_MARGIN);
+        let res = self.receive_unless_overtaken(CallKind::Watch, number, sent);
+        let res = res.await?;
         let mut page = self.dialect.decode_events(res.status(), res.body())?;
         if era_of(after) != self.era() {
             return Err(StoreError::Compacted);
@@ -244,8 +253,66 @@
     }
 
     async fn call(&self, kind: CallKind, req: Call) -> Result<Response<Bytes>, StoreError> {
-        let result = call(&self.calls, req, CALL_TIMEOUT).await;
-        self.receive(kind, result)
+        let number = self.number_call();
+        let sent = call(&self.calls, req, CALL_TIMEOUT);
+        match kind {
+            CallKind::Read | CallKind::Watch => {
+                self.receive_unless_overtaken(kind, number, sent).await
+            }
+            // It may still take effect: its caller waits as long as for any other response.
+            CallKind::Write | CallKind::Lease => self.receive(kind, number, sent.await),
+        }
+    }
+
+    fn number_call(&self) -> CallNumber {
+        let mut outages = self.outages.get();
+        let number = outages.call_sent();
+        self.outages.set(outages);
+        number
+    }
+
+    /// Receives the response to a call that changes nothing, unless an outage has overtaken it.
+    async fn receive_unless_overtaken(
+        &self,
+        kind: CallKind,
+        number: CallNumber,
+        sent: impl Future<Output = Result<Response<Bytes>, ExchangeError>>,
+    ) -> Result<Response<Bytes>, StoreError> {
+        tokio::select! {
+            biased;
+            result = sent => self.receive(kind, number, result),
+            () = self.overtaken(number) => {
+                self.count(kind, true, false);
+                Err(StoreError::Overtaken)
+            }
+        }
+    }
+
+    async fn overtaken(&self, number: CallNumber) {
+        while !self.outages.get().is_overtaken(number) {
+            self.outage_ended.notified().await;
+        }
+    }
+
+    /// Notes what the end of a call shows of outages. Calls that an outage has overtaken end.
+    fn note_outage(&self, number: CallNumber, is_lost: bool, is_answered: bool) {
+        let mut outages = self.outages.get();
+        if is_lost {
+            outages.call_lost(number);
+        }
+        let has_ended = is_answered && outages.call_answered(number);
+        self.outages.set(outages);
+        if has_ended {
+            self.outage_ended.notify_waiters();
+        }
+    }
+
+    fn count(&self, kind: CallKind, is_lost: bool, is_answered: bool) {
+        let mut counts = self.counts.get();
+        counts.calls[kind as usize] += 1;
+        counts.unanswered += u32::from(is_lost);
+        self.counts.set(counts);
+        self.metrics.count_store_call(kind.name(), is_answered);
     }
 
     /// Counts a call, wakes those that wait for the store if it succeeded, and notes the
@@ -253,14 +320,12 @@
     fn receive(
         &self,
         kind: CallKind,
+        number: CallNumber,
         result: Result<Response<Bytes>, ExchangeError>,
     ) -> Result<Response<Bytes>, StoreError> {
         let is_answered = result.as_ref().is_ok_and(|res| res.status().is_success());
-        let mut counts = self.counts.get();
-        counts.calls[kind as usize] += 1;
-        counts.unanswered += u32::from(result.is_err());
-        self.counts.set(counts);
-        self.metrics.count_store_call(kind.name(), is_answered);
+        self.count(kind, result.is_err(), is_answered);
+        self.note_outage(number, result.is_err(), is_answered);
         let res = result.map_err(|error| StoreError::Unanswered(format_compact!("{error}")))?;
         self.note_era(&res)?;
         if is_answered {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,7 @@
     rejected_settings: Counter<u64>,
     blocked_parts: Gauge<u64>,
     endpoints: Gauge<u64>,
+    registrations_age: Gauge<f64>,
     evacuated_zones: Gauge<u64>,
     waiting_requests: Gauge<u64>,
     slowest_endpoint: Gauge<f64>,
@@ -100,6 +101,11 @@
                 .u64_gauge("rattanstall.endpoints")
                 .with_description("Endpoints by what they said of themselves")
                 .build(),
+            registrations_age: meter
+                .f64_gauge("rattanstall.registrations.age")
+                .with_unit("s")
+                .with_description("Time since the store showed the endpoint registrations as they are known")
+                .build(),
             evacuated_zones: meter
                 .u64_gauge("rattanstall.zones.evacuated")
                 .with_description("Zones that the operator evacuates")
@@ -199,6 +205,11 @@
         self.endpoints.record(endpoints as u64, &labels);
     }
 
+    /// Records how old the known endpoint registrations are.
+    pub fn record_registrations_age(&self, age: Millis) {
+        self.registrations_age.record(secs(age), &[]);
+    }
+
     /// Records how many zones are evacuated.
     pub fn record_evacuated_zones(&self, zones: usize) {
         self.evacuated_zones.record(zones as u64, &[]);
