Streams: identifiers that rise by any number are joined

Callers who took their streams up at another gateway, after theirs was killed, got a head with status 200 and a cut before the first event (LOST): 0 of 16 streams went on, while 16 of 16 new ones began.

Cause: where parts join, a rise other than one, or than that of the latest complete stream of the service, counted as a gap. A gateway that has relayed no whole stream yet assumed one. Identifiers are promised to increase only; these count tokens, six an event. Streams that broke off after one event, and streams with uneven rises, were cut for the same reason.

The stream itself decides now: a step that it has shown twice holds; otherwise the first event of a part waits for the next one or two, and is behind a gap if it lies a multiple of their even step after the last event. What other streams show only saves the wait.

The endpoint stand-in can number events by a list.

--- a/src/direct/relay/streaming.rs
+++ b/src/direct/relay/streaming.rs
@@ -217,13 +217,25 @@
                 PartProgress::Failed(self.upstream_broke(ENDED_WITH_ENDPOINT))
             }
             None => match self.end_of_body() {
-                EndOfCopy::Finished => PartProgress::Finished,
+                EndOfCopy::Finished => self.finish_part(),
                 EndOfCopy::Unknown => PartProgress::Failed(self.upstream_ended()),
                 EndOfCopy::Broken(why) => PartProgress::Failed(self.upstream_broke(why)),
             },
         })
     }
 
+    /// Passes on the events that waited for the end of the part, before the end itself.
+    fn finish_part(&mut self) -> PartProgress {
+        match self.tracker.as_mut().map(EventTracker::end_part) {
+            Some(Ok(events)) if !events.is_empty() => {
+                self.record_version(self.forwarder.shared.now());
+                PartProgress::Events(events)
+            }
+            Some(Err(fault)) => PartProgress::Failed(self.reject_events(fault)),
+            Some(Ok(_)) | None => PartProgress::Finished,
+        }
+    }
+
     /// Whether the end of an unframed stream is that of its endpoint's process, whose
     /// connections are closed in order.
     async fn has_broken_in_order(&self) -> bool {
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -28,10 +28,13 @@
 /// Passes on complete events and remembers the identifier of the last one.
 ///
 /// The received bytes of an incomplete event are held back: if the stream breaks
-/// off there, the next endpoint sends that event again.
+/// off there, the next endpoint sends that event again. The first event of a part is held back as
+/// long as only the next one can tell whether it follows the part before.
 #[derive(Debug, Default)]
 pub struct EventTracker {
     pending: BytesMut,
+    /// Complete events of which it is not decided whether they are passed on.
+    undecided: BytesMut,
     boundary: EventBoundary,
     numbering: Numbering,
     part: Part,
@@ -108,7 +111,7 @@
 
     /// Memory that the held back bytes occupy.
     pub fn pending_bytes(&self) -> usize {
-        self.pending.len()
+        self.pending.len() + self.undecided.len()
     }
 
     /// Adds a chunk of the stream and returns the events that are now complete. Those before
@@ -123,16 +126,32 @@
         };
         let (complete, open) = chunk.split_at(end);
         self.pending.extend_from_slice(complete);
-        let mut events = self.pending.split().freeze();
+        let mut events = self.pending.split();
         self.pending.extend_from_slice(open);
         if let Err((kept, fault)) = self.advance(&events) {
-            events.truncate(kept);
-            if events.is_empty() {
+            if kept == 0 {
                 return Err(fault.into());
             }
+            events.truncate(kept);
             self.fault = Some(fault.into());
         }
-        Ok(events)
+        self.undecided.extend_from_slice(&events);
+        Ok(self.take_decided())
+    }
+
+    /// The body has ended in order. Returns the events that wait for the next one, if they may be
+    /// passed on without it.
+    pub fn end_part(&mut self) -> Result<Bytes, EventFault> {
+        self.numbering.end_part()?;
+        Ok(self.take_decided())
+    }
+
+    fn take_decided(&mut self) -> Bytes {
+        if self.numbering.is_undecided() {
+            return Bytes::new();
+        }
+        self.has_events |= self.part.events > 0;
+        self.undecided.split().freeze()
     }
 
     /// The stream does not go on after the events that were returned last.
@@ -167,16 +186,19 @@
                     self.part.first_id = id.map(CompactString::from);
                 }
                 self.part.events += 1;
-                self.has_events = true;
             }
-            kept = end;
+            if !self.numbering.is_undecided() {
+                kept = end;
+            }
         }
         Ok(())
     }
 
-    /// Discards the incomplete event of an endpoint whose stream broke off.
+    /// Discards the incomplete and undecided events of an endpoint whose stream broke off.
     pub fn drop_pending(&mut self) {
         self.pending.clear();
+        self.undecided.clear();
+        self.numbering.drop_undecided();
         self.boundary = EventBoundary::default();
         self.fault = None;
     }
--- a/src/direct/resume/numbering.rs
+++ b/src/direct/resume/numbering.rs
@@ -1,4 +1,7 @@
 //! The numbers of a stream's events, which show whether a part follows the one before.
+//!
+//! Endpoints promise no more than that numbers increase. By how much they do is known from the
+//! stream itself, or from the next events of the part that is to be joined.
 
 use compact_str::CompactString;
 
@@ -55,6 +58,42 @@
     }
 }
 
+/// The first events of a part, as long as they may be the next ones or lie behind a gap.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Undecided {
+    /// The number of the last event before the part.
+    last: u64,
+    /// Identifiers and numbers, in their order.
+    events: Vec<(CompactString, u64)>,
+}
+
+impl Undecided {
+    /// By how much each number lies above the one before.
+    fn rises(&self) -> Vec<u64> {
+        let numbers = self.events.iter().map(|(_, number)| *number);
+        let before = std::iter::once(self.last).chain(numbers.clone());
+        numbers
+            .zip(before)
+            .map(|(number, before)| number - before)
+            .collect()
+    }
+
+    fn gap(&self) -> OutOfTurn {
+        OutOfTurn::Gap {
+            last: self.last,
+            number: self.events[0].1,
+        }
+    }
+}
+
+/// What the first event of a part is to the last one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Join {
+    Next,
+    Gap,
+    Undecided,
+}
+
 /// The position in a stream whose events are numbered in rising order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Numbering {
@@ -63,11 +102,14 @@
     last: Option<u64>,
     /// By how much its numbers rise; `None` before two events in a row.
     step: Option<Step>,
+    /// Whether that was seen more than once.
+    is_step_confirmed: bool,
     /// The same of like streams.
     usual: Step,
     is_at_part_start: bool,
     /// Whether the last event had no identifier.
     is_unnamed: bool,
+    undecided: Option<Undecided>,
 }
 
 impl Numbering {
@@ -99,25 +141,36 @@
         !self.is_unnamed
     }
 
+    /// Whether the first events of a part are not decided on. The position does not count them yet.
+    pub fn is_undecided(&self) -> bool {
+        self.undecided.is_some()
+    }
+
+    /// Forgets events that are not decided on and will not be passed on.
+    pub fn drop_undecided(&mut self) {
+        self.undecided = None;
+    }
+
     /// Begins a part: another endpoint writes from here on.
     pub fn begin_part(&mut self) {
         self.is_at_part_start = true;
+        self.undecided = None;
     }
 
     /// Moves on by an event with this identifier. The position stays if it is out of turn.
     pub fn advance(&mut self, id: Option<&str>) -> Result<(), OutOfTurn> {
         let number = id.and_then(parse);
-        match (self.last, number) {
-            (Some(last), None) if self.is_at_part_start => {
-                return Err(OutOfTurn::Unnumbered { last });
-            }
-            (Some(last), Some(number)) => {
-                self.check(last, number)?;
-                if !self.is_at_part_start {
-                    self.observe(number - last);
-                }
+        match (self.undecided.take(), number) {
+            (Some(part), Some(number)) => return self.extend(part, id.unwrap_or_default(), number),
+            (Some(part), None) => self.settle(part)?,
+            (None, _) if self.is_at_part_start && self.last.is_some() => {
+                return self.join(id.unwrap_or_default(), number);
             }
-            _ => {}
+            (None, _) => {}
+        }
+        if let (Some(last), Some(number)) = (self.last, number) {
+            check_rising(last, number)?;
+            self.observe(number - last);
         }
         self.is_unnamed = id.is_none();
         if let Some(id) = id {
@@ -128,27 +181,106 @@
         Ok(())
     }
 
-    fn observe(&mut self, rise: u64) {
-        let rise = Step::Even(rise);
-        let is_even = self.step.is_none_or(|step| step == rise);
-        self.step = Some(if is_even { rise } else { Step::Uneven });
+    /// Decides on the first events of a part after which nothing more comes.
+    pub fn end_part(&mut self) -> Result<(), OutOfTurn> {
+        let part = self.undecided.take();
+        part.map_or(Ok(()), |part| self.settle(part))
+    }
+
+    /// Moves on by the first event of a part.
+    fn join(&mut self, id: &str, number: Option<u64>) -> Result<(), OutOfTurn> {
+        let Some(last) = self.last else {
+            return Ok(());
+        };
+        let number = number.ok_or(OutOfTurn::Unnumbered { last })?;
+        let part = Undecided {
+            last,
+            events: Vec::new(),
+        };
+        self.extend(part, id, number)
     }
 
-    /// An endpoint may leave numbers out. Only where parts join is that a gap.
-    fn check(&self, last: u64, number: u64) -> Result<(), OutOfTurn> {
-        if number <= last {
-            return Err(OutOfTurn::Repeated { last, number });
+    /// Moves on by a further event of a part that is not decided on.
+    fn extend(&mut self, mut part: Undecided, id: &str, number: u64) -> Result<(), OutOfTurn> {
+        let before = part.events.last().map_or(part.last, |(_, number)| *number);
+        check_rising(before, number)?;
+        part.events.push((id.into(), number));
+        match self.judge(&part.rises()) {
+            Join::Next => self.accept(part),
+            Join::Gap => return Err(part.gap()),
+            Join::Undecided => self.undecided = Some(part),
         }
-        let rise = Step::Even(number - last);
-        let is_next = match self.step {
-            Some(step) => step == Step::Uneven || step == rise,
-            None => self.usual == Step::Uneven || rise == self.usual || rise == Step::default(),
+        Ok(())
+    }
+
+    /// Decides on the first events of a part by these alone.
+    fn settle(&mut self, part: Undecided) -> Result<(), OutOfTurn> {
+        let is_next = match (part.rises().as_slice(), self.step) {
+            ([rise], Some(Step::Even(step))) => !is_multiple(*rise, step),
+            // Even numbers that count from 0 are all multiples of their step.
+            ([rise], _) => part.last.is_multiple_of(*rise),
+            _ => false,
         };
-        if self.is_at_part_start && !is_next {
-            return Err(OutOfTurn::Gap { last, number });
+        if !is_next {
+            return Err(part.gap());
         }
+        self.accept(part);
         Ok(())
     }
+
+    fn accept(&mut self, part: Undecided) {
+        self.is_at_part_start = false;
+        self.is_unnamed = false;
+        for (at, (id, number)) in part.events.into_iter().enumerate() {
+            if let Some(last) = self.last.filter(|_| at > 0) {
+                self.observe(number - last);
+            }
+            self.last_id = Some(id);
+            self.last = Some(number);
+        }
+    }
+
+    /// Decides on the first events of a part, whose numbers rise like this. An endpoint may leave
+    /// numbers out; only where parts join may that be a gap.
+    fn judge(&self, rises: &[u64]) -> Join {
+        let known = match self.step {
+            None if rises[0] == 1 => return Join::Next,
+            None => self.usual,
+            Some(step) => step,
+        };
+        if known == Step::Uneven || known == Step::Even(rises[0]) {
+            return Join::Next;
+        }
+        match (self.step, rises) {
+            (Some(_), _) if self.is_step_confirmed => Join::Gap,
+            (_, [_]) => Join::Undecided,
+            (Some(step), [_, next, ..]) if step == Step::Even(*next) => Join::Gap,
+            (None, [rise, next]) if is_multiple(*rise, *next) => Join::Undecided,
+            (None, [rise, next, third, ..]) if is_multiple(*rise, *next) && next == third => {
+                Join::Gap
+            }
+            _ => Join::Next,
+        }
+    }
+
+    fn observe(&mut self, rise: u64) {
+        let rise = Step::Even(rise);
+        self.is_step_confirmed = self.step == Some(rise);
+        let is_even = self.step.is_none_or(|step| step == rise);
+        self.step = Some(if is_even { rise } else { Step::Uneven });
+    }
+}
+
+/// Whether an even stream of this step would leave numbers out at such a rise.
+fn is_multiple(rise: u64, step: u64) -> bool {
+    rise > step && rise.is_multiple_of(step)
+}
+
+fn check_rising(last: u64, number: u64) -> Result<(), OutOfTurn> {
+    match number > last {
+        true => Ok(()),
+        false => Err(OutOfTurn::Repeated { last, number }),
+    }
 }
 
 fn parse(id: &str) -> Option<u64> {
--- a/standins/src/endpoint/answer.rs
+++ b/standins/src/endpoint/answer.rs
@@ -110,6 +110,8 @@
     pub body: Option<String>,
     /// Events that a continuation leaves out, or repeats if negative.
     pub skipped_events: i64,
+    /// The identifiers of the events, in rising order; by default their numbers.
+    pub identifiers: Vec<u64>,
     /// Bytes of the head after which it breaks off or pauses; by default half of it.
     pub head_bytes: Option<usize>,
     /// Pause within the head, in milliseconds.
@@ -146,6 +148,7 @@
             content_type: None,
             body: None,
             skipped_events: 0,
+            identifiers: Vec::new(),
             head_bytes: None,
             head_pause_ms: 0,
             repeated: None,
@@ -160,7 +163,18 @@
 impl Answer {
     /// The event after which a continuation begins.
     pub(super) fn begins_after(&self, last_event_id: u64) -> u64 {
-        last_event_id.saturating_add_signed(self.skipped_events)
+        let number = match self.identifiers.is_empty() {
+            true => last_event_id,
+            false => self.identifiers.partition_point(|id| *id <= last_event_id) as u64,
+        };
+        number.saturating_add_signed(self.skipped_events)
+    }
+
+    fn identifier(&self, number: u64) -> u64 {
+        let at = usize::try_from(number)
+            .unwrap_or_default()
+            .saturating_sub(1);
+        self.identifiers.get(at).copied().unwrap_or(number)
     }
 
     /// The type of the body; `None` if none is stated.
@@ -181,8 +195,9 @@
     }
 
     /// The event with this number, as a software version writes it.
-    pub(super) fn event(version: &str, number: u64) -> Vec<u8> {
-        format!("id: {number}\ndata: {version}:{number}\n\n").into_bytes()
+    pub(super) fn event(&self, version: &str, number: u64) -> Vec<u8> {
+        let id = self.identifier(number);
+        format!("id: {id}\ndata: {version}:{number}\n\n").into_bytes()
     }
 
     /// The pieces of the whole body after the event that the request names.
@@ -191,7 +206,7 @@
             (Some(body), _) => vec![body.clone().into_bytes()],
             (None, 0) => vec![vec![b'x'; self.body_bytes]],
             (None, events) => (after + 1..=events)
-                .map(|number| Self::event(version, number))
+                .map(|number| self.event(version, number))
                 .collect(),
         }
     }
--- a/standins/src/endpoint/connection.rs
+++ b/standins/src/endpoint/connection.rs
@@ -427,7 +427,7 @@
             match kind {
                 Overflow::Head => self.write(format!("x-filler-{number}: y\r\n").as_bytes())?,
                 Overflow::Events => {
-                    let event = Answer::event(&self.life.version, number);
+                    let event = answer.event(&self.life.version, number);
                     self.write_piece(answer, &event)?;
                 }
                 Overflow::Body | Overflow::Event => self.write_piece(answer, &filler)?,
