Responses: a status that HTTP does not define is no answer

Callers got an endpoint's 101, though no request asks for another protocol, and its 600 to 999, with its stamp, as answers. A status of 000 never reached one.

Cause: the HTTP library accepts 100 to 999, and that was taken for what a response may state. 000 and other numbers of digits fail in the library.

A response with another status than 200 to 599 counts as none now, in the one place by which all calls of endpoints, the store and other gateways go, and in the agent's client: the request may have run (502), and is repeated only if its kind allows. An order with such an answer may take effect.

--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 use crate::error::{Error, Result};
-use crate::http::{HttpClient, client, fetch, send};
+use crate::http::{HttpClient, client, fetch, is_final, send};
 use crate::ledger::EndpointReport;
 use crate::wire::{Action, Call, Fence, Order};
 
@@ -143,7 +143,7 @@
             true => &self.pooled,
             false => &self.unpooled,
         };
-        client.request(req).await.map_err(|error| {
+        let res = client.request(req).await.map_err(|error| {
             log::info!(
                 "request {}: call to the endpoint failed: {error}",
                 call.request
@@ -152,6 +152,15 @@
                 true => CallError::NotSent,
                 false => CallError::MayHaveRun,
             }
-        })
+        })?;
+        if !is_final(res.status()) {
+            log::info!(
+                "request {}: the endpoint answered with status {}",
+                call.request,
+                res.status().as_u16()
+            );
+            return Err(CallError::MayHaveRun);
+        }
+        Ok(res)
     }
 }
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Millis;
+use crate::http::is_final;
 
 /// A connection is closed when sent bytes stay unacknowledged for this long. It
 /// covers several round trips between zones and one retransmission, which Linux
@@ -141,7 +142,8 @@
         ready.map_err(|e| ExchangeError::NotSent(e.to_string()))
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. One with a status that HTTP does
+    /// not define is no response.
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -149,7 +151,11 @@
         self.ready().await?;
         self.is_reused = true;
         match self.sender.try_send_request(req).await {
-            Ok(res) => Ok(res),
+            Ok(res) if is_final(res.status()) => Ok(res),
+            Ok(res) => {
+                let status = res.status().as_u16();
+                Err(ExchangeError::Unanswered(format!("status {status}")))
+            }
             Err(mut error) => {
                 let was_sent = error.take_message().is_none();
                 let text = error.into_error().to_string();
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -206,7 +206,7 @@
 }
 
 fn replay(status: u16, content_type: &str, body: Bytes) -> Response {
-    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
+    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
     let mut res = buffered(status, content_type, body);
     set_header(&mut res, "idempotency-replayed", "true");
     res
--- a/src/http.rs
+++ b/src/http.rs
@@ -229,6 +229,12 @@
         .build(connector)
 }
 
+/// Whether a status can be that of a response. The library also takes 600 to 999, which HTTP does
+/// not define, and 101, although no request asks for another protocol.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Sends a JSON body and reads a JSON response, within a timeout.
 pub async fn exchange<T: Serialize, R: DeserializeOwned>(
     client: &HttpClient,
@@ -290,7 +296,11 @@
     body: Bytes,
 ) -> Result<http::Response<Incoming>> {
     let req = build_request(method, uri, body)?;
-    client.request(req).await.map_err(http_error)
+    let res = client.request(req).await.map_err(http_error)?;
+    match is_final(res.status()) {
+        true => Ok(res),
+        false => Err(http_error(format!("status {}", res.status().as_u16()))),
+    }
 }
 
 /// Builds a request with a JSON body.
