--- a/src/direct/control/parts.rs
+++ b/src/direct/control/parts.rs
@@ -271,6 +271,11 @@
 
     /// An operator blocks a part or lifts its block.
     pub(super) fn order_block(&mut self, now: Millis, part: PartId, state: BlockState) {
+        if state == BlockState::Blocked {
+            for lifted in self.parts.evidence.lift_tied(now, part) {
+                self.parts.outbox.push_block(now, lifted);
+            }
+        }
         let block = self.parts.evidence.set_by_operator(now, part, state);
         self.parts.has_changed = true;
         self.parts.outbox.push_block(now, block);
--- a/src/direct/driver.rs
+++ b/src/direct/driver.rs
@@ -96,6 +96,7 @@
         supervisor.spawn("tick", tick(self.shared.clone(), events));
         let mut control =
             Control::new(self.shared.settings.clone()).with_notices(self.shared.notices.clone());
+        pace.set(control.pauses());
         let mut workload = Workload::default();
         while let Some(Queued { event, sent_at }) = queue.next().await {
             let kind = event.name();
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -28,8 +28,8 @@
 /// Passes on complete events and remembers the identifier of the last one.
 ///
 /// The received bytes of an incomplete event are held back: if the stream breaks
-/// off there, the next endpoint sends that event again. The first event of a part is held back as
-/// long as only the next one can tell whether it follows the part before.
+/// off there, the next endpoint sends that event again. The first events of a part are held back as
+/// long as only the next ones can tell whether they follow the part before.
 #[derive(Debug, Default)]
 pub struct EventTracker {
     pending: BytesMut,
--- a/src/direct/resume/numbering.rs
+++ b/src/direct/resume/numbering.rs
@@ -59,7 +59,7 @@
 }
 
 /// The first events of a part, as long as they may be the next ones or lie behind a gap.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Undecided {
     /// The number of the last event before the part.
     last: u64,
--- a/src/direct/suspects.rs
+++ b/src/direct/suspects.rs
@@ -28,6 +28,7 @@
 use super::run_hash::run_hash;
 use crate::clock::Millis;
 use block::BlockTable;
+use score::Accused;
 
 /// How long evidence counts.
 pub const EVIDENCE_LIFETIME: Millis = Millis(24 * 3_600_000);
@@ -314,6 +315,18 @@
         block
     }
 
+    /// Lifts the blocks that are tied to the one of a part which an operator blocks, and returns
+    /// them: that part explains their crashes.
+    pub fn lift_tied(&mut self, now: Millis, part: PartId) -> Vec<Block> {
+        let ties = self.blocks.ties();
+        let tied = ties.into_iter().filter(|tie| tie.contains(&part)).flatten();
+        let others: Vec<PartId> = tied.filter(|p| *p != part).collect();
+        let lifted = others.into_iter();
+        lifted
+            .filter_map(|p| self.blocks.lift(now + ORIGIN, p))
+            .collect()
+    }
+
     /// Blocks the parts that the evidence now speaks against, and returns the new blocks.
     pub fn decide(&mut self, now: Millis) -> Vec<Block> {
         if !std::mem::take(&mut self.is_open) {
@@ -323,28 +336,33 @@
         let mut new = Vec::new();
         for _ in 0..MAX_ROUNDS {
             let accused = score::accused(now, self);
-            let before = new.len();
-            let ties = self.blocks.ties();
-            let is_accused = |part: PartId| accused.iter().any(|a| a.part == part);
-            let told_apart = ties.iter().filter(|t| t.iter().any(|p| is_accused(*p)));
-            let cleared = told_apart.flatten().filter(|p| !is_accused(**p));
-            let cleared: Vec<PartId> = cleared.copied().collect();
-            new.extend(accused.into_iter().filter_map(|accused| {
+            let cleared = self.told_apart(&accused);
+            let blocked = accused.into_iter().filter_map(|accused| {
                 let cause = BlockCause::Crashes(accused.ended);
                 let state = BlockState::Blocked;
                 self.blocks
                     .set(now, accused.last, accused.part, state, cause)
-            }));
-            new.extend(cleared.into_iter().filter_map(|p| self.blocks.lift(now, p)));
-            if new.len() == before {
+            });
+            let mut changed: Vec<Block> = blocked.collect();
+            changed.extend(cleared.into_iter().filter_map(|p| self.blocks.lift(now, p)));
+            if changed.is_empty() {
                 break;
             }
+            new.extend(changed);
         }
         let newest = self.crashes.iter().map(|c| c.at).max();
         self.is_open = newest.is_some_and(|at| now.since(at) <= score::SETTLE_TIME);
         new
     }
 
+    /// The parts that were tied to some of the accused ones, and are not accused with them.
+    fn told_apart(&self, accused: &[Accused]) -> Vec<PartId> {
+        let is_accused = |part: &PartId| accused.iter().any(|a| a.part == *part);
+        let ties = self.blocks.ties();
+        let ties = ties.into_iter().filter(|tie| tie.iter().any(is_accused));
+        ties.flatten().filter(|part| !is_accused(part)).collect()
+    }
+
     /// Blocks of which one request may now be sent as a trial, at most one for good: they are
     /// returned as tried, all of a tie together. An answer then lifts them. To be called at one
     /// gateway only.
--- a/tests/direct_ties.rs
+++ b/tests/direct_ties.rs
@@ -175,6 +175,21 @@
     assert!(witness.refuses(&[GUILTY]));
 }
 
+// Guards against a sound part that is refused alone after an operator has blocked the guilty one.
+#[test]
+fn a_part_that_an_operator_blocks_frees_those_that_were_tied_to_it() {
+    let mut witness = Witness::new();
+    witness.crash(3, &[FIRST, PartId(5), GUILTY]);
+    let lifted = witness.evidence.lift_tied(witness.now, GUILTY);
+    let parts: Vec<PartId> = lifted.iter().map(|block| block.part).collect();
+    assert_eq!(parts, [FIRST, PartId(5)]);
+    let state = BlockState::Blocked;
+    witness.evidence.set_by_operator(witness.now, GUILTY, state);
+    witness.evidence.decide(witness.now);
+    assert!(witness.refuses(&[GUILTY]));
+    assert!(!witness.refuses(&[FIRST, PartId(5)]));
+}
+
 // Guards against parts that are taken for tied since endpoints that come back under their
 // identifiers ended under both, at different times.
 #[test]
