--- a/src/direct/resume/numbering.rs
+++ b/src/direct/resume/numbering.rs
@@ -254,6 +254,7 @@
         match (self.step, rises) {
             (Some(_), _) if self.is_step_confirmed => Join::Gap,
             (_, [_]) => Join::Undecided,
+            // Two rises alike show that the stream is even, and the one at the join is another.
             (Some(step), [_, next, ..]) if step == Step::Even(*next) => Join::Gap,
             (None, [rise, next]) if is_multiple(*rise, *next) => Join::Undecided,
             (None, [rise, next, third, ..]) if is_multiple(*rise, *next) && next == third => {
