Stand-ins: a port that was found free stays free while processes start

Cause: a port is found free by binding it. A process that another test starts at that moment holds a copy of the socket until it executes its program, and the port's own process fails meanwhile.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -19,12 +19,12 @@
 use crate::caller::Caller;
 use crate::platform::PlatformSetup;
 
-pub use process::{Process, program_dir};
-pub use settings::loopback_address;
+pub use process::{Process, program_dir, spawn};
 use settings::{
     PortAllocator, agent_settings, endpoint_process, gateway_settings, instance, models,
     write_settings,
 };
+pub use settings::{free_address, loopback_address};
 
 /// How long the fleet may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -16,6 +17,21 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Held while a port is probed or a process is started: a new process keeps a copy of the probing
+/// socket until it executes its program, so that the port would not be free for others.
+static STARTS: Mutex<()> = Mutex::new(());
+
+/// Keeps processes from being started by [`spawn`] until it is dropped.
+pub(super) fn hold_starts() -> MutexGuard<'static, ()> {
+    STARTS.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Starts a process while no port of a fleet is probed.
+pub fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _held = hold_starts();
+    command.spawn()
+}
+
 /// A process of the fleet, running or stopped.
 pub struct Process {
     /// The instance's name.
@@ -117,13 +133,13 @@
             .create(true)
             .append(true)
             .open(dir.join(format!("{}.log", self.name)))?;
-        let child = Command::new(program_dir()?.join(&self.program))
+        let mut command = Command::new(program_dir()?.join(&self.program));
+        command
             .args(&self.args)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
+            .stderr(log);
+        self.child = Some(spawn(&mut command)?);
         Ok(())
     }
 }
--- a/standins/src/fleet/settings.rs
+++ b/standins/src/fleet/settings.rs
@@ -10,7 +10,7 @@
 use rattanstall::weights::Model;
 
 use super::FleetBuilder;
-use super::process::Process;
+use super::process::{Process, hold_starts};
 
 static NEXT_PORT_OFFSET: AtomicU32 = AtomicU32::new(0);
 
@@ -29,6 +29,7 @@
             let number = NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed);
             let port = (Self::FIRST_PORT + number % Self::PORT_COUNT) as u16;
             let addr = SocketAddr::new(ip, port);
+            let _held = hold_starts();
             if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
                 return Ok(addr);
             }
@@ -37,6 +38,11 @@
     }
 }
 
+/// An address of this process's fleets that is free for both TCP and UDP.
+pub fn free_address() -> io::Result<SocketAddr> {
+    PortAllocator.next_free()
+}
+
 /// The loopback address of a process's fleets. Processes with the same address have
 /// identifiers that differ by a multiple of 2^22, the largest that Linux gives out.
 pub fn loopback_address(process: u32) -> IpAddr {
--- a/standins/tests/signals.rs
+++ b/standins/tests/signals.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use rattanstall::config::Document;
 use rattanstall_standins::caller::{Caller, RequestOptions, chat};
-use rattanstall_standins::fleet::{Fleet, FleetBuilder, loopback_address, program_dir};
+use rattanstall_standins::fleet::{Fleet, FleetBuilder, loopback_address, program_dir, spawn};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
@@ -96,7 +96,7 @@
     /// Starts a program of the build and waits until it blocks on its files or serves.
     fn start(name: &'static str, args: &[&str]) -> Self {
         let program = program_dir().expect("a directory").join(name);
-        let process = Command::new(program).args(args).spawn();
+        let process = spawn(Command::new(program).args(args));
         let process = process.expect("the program starts");
         std::thread::sleep(Duration::from_millis(300));
         Self { name, process }
@@ -121,8 +121,10 @@
 fn blocking_file(name: &str) -> PathBuf {
     let id = std::process::id();
     let file = std::env::temp_dir().join(format!("rattanstall-{name}-{id}"));
-    let made = Command::new("mkfifo").arg(&file).status();
-    assert!(made.expect("mkfifo runs").success());
+    let made = spawn(Command::new("mkfifo").arg(&file))
+        .expect("mkfifo runs")
+        .wait();
+    assert!(made.expect("a child process").success());
     file
 }
 
@@ -168,7 +170,7 @@
         .expect("a directory")
         .join("rattanstall-gateway");
     let mut command = Command::new(program);
-    let process = command.arg("--settings").arg(settings).stderr(log).spawn();
+    let process = spawn(command.arg("--settings").arg(settings).stderr(log));
     let process = process.expect("the program starts");
     let name = "rattanstall-gateway";
     let mut program = Program { name, process };
