--- /dev/null
+++ b/review/stand-3/case11.rs
@@ -0,0 +1,138 @@
+//! An engine's process ends while it writes plain answers that have neither a length nor chunks.
+//!
+//! Without arguments this is the case; with `engine` it is the engine's process.
+
+#[path = "stand.rs"]
+mod stand;
+
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::Duration;
+
+use stand::*;
+
+/// Pieces of an answer, and the pause before each.
+const PIECES: usize = 8;
+const PIECE_BYTES: usize = 100;
+const PAUSE_MS: u64 = 100;
+/// When the engine's process is killed, after the requests were sent: in the middle of them.
+const KILL_AT_MS: u64 = 450;
+const DEADLINE_MS: u64 = 4_000;
+const CONSUMERS: usize = 6;
+
+/// Serves plain answers that end with their channel, until the process is killed.
+fn be_engine() -> ! {
+    let (listener, address) = listen();
+    println!("{address}");
+    serve(listener, |req, out| {
+        println!("runs {} ({} {})", req.id(), req.method, req.target);
+        let body = numbered_body(PIECES * PIECE_BYTES);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {}\r\n\
+             Rattanstall-Server-Stamp: 3e1b.{}\r\nContent-Type: text/plain\r\n\
+             Connection: close\r\n\r\n",
+            req.id(),
+            req.id()
+        );
+        out.write_all(head.as_bytes())?;
+        for piece in body.chunks(PIECE_BYTES) {
+            sleep_ms(PAUSE_MS);
+            out.write_all(piece)?;
+        }
+        println!("has written the whole answer to {}", req.id());
+        // The end of the channel is the end of the answer.
+        Ok(false)
+    });
+    loop {
+        thread::park();
+    }
+}
+
+struct Engine {
+    process: Child,
+    address: std::net::SocketAddr,
+}
+
+fn start_engine(name: &'static str) -> Engine {
+    let program = std::env::current_exe().expect("this program");
+    let started = Command::new(program)
+        .arg("engine")
+        .stdout(Stdio::piped())
+        .spawn();
+    let mut process = started.unwrap_or_else(|e| cannot_run(&format!("no engine: {e}")));
+    note_child(&process);
+    let mut lines = BufReader::new(process.stdout.take().expect("piped")).lines();
+    let address = lines.next().and_then(Result::ok);
+    let address = address.and_then(|text| text.parse().ok());
+    let address = address.unwrap_or_else(|| cannot_run("the engine names no address"));
+    thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            record(&format!("engine {name} {line}"));
+        }
+    });
+    Engine { process, address }
+}
+
+fn main() {
+    if std::env::args().nth(1).as_deref() == Some("engine") {
+        be_engine();
+    }
+    open_record();
+    let (store, store_address) = Store::start();
+    let mut engines = ["i-1", "i-2"].map(start_engine);
+    for (index, engine) in engines.iter().enumerate() {
+        let key = format!("servers/i-{}", index + 1);
+        store.put(&key, &entry("recovery-desk", engine.address, "zone-a", "ready"));
+    }
+    store.put("op/config", &config(7, "recovery-desk", 4_000));
+    let mut gateway = Gateway::start("front-zone-a-1", "zone-a", store_address);
+    sleep_ms(3_500);
+
+    let consumers: Vec<_> = (0..CONSUMERS)
+        .map(|index| {
+            let to = gateway.front;
+            thread::spawn(move || {
+                let (method, path) = [("GET", "/lookup/day"), ("POST", "/filing/day")][index % 2];
+                let id = format!("c{index}-{}", &path[1..7]);
+                let body: &[u8] = if method == "POST" { b"report" } else { b"" };
+                let stream = connect(to, Pace::default()).expect("the gateway accepts");
+                record(&format!("consumer sends {id} ({method} {path})"));
+                (&stream)
+                    .write_all(&request(method, path, &id, DEADLINE_MS, body))
+                    .expect("sent");
+                let within = Duration::from_millis(DEADLINE_MS);
+                let answer = read_answer(&stream, Pace::default(), within);
+                record(&format!(
+                    "consumer got {id}: status {}, stamp {:?}, {} of {} bytes, end {:?}",
+                    answer.status,
+                    answer.header("Rattanstall-Server-Stamp"),
+                    answer.body.len(),
+                    PIECES * PIECE_BYTES,
+                    answer.end
+                ));
+                (id, answer)
+            })
+        })
+        .collect();
+    sleep_ms(KILL_AT_MS);
+    if has_trouble() {
+        record("engine i-1 crashes (SIGKILL)");
+        kill_child(&mut engines[0].process);
+    }
+    let whole = numbered_body(PIECES * PIECE_BYTES);
+    let mut broken = Vec::new();
+    for consumer in consumers {
+        let (id, answer) = consumer.join().expect("a consumer");
+        let is_success = (200..300).contains(&answer.status);
+        if is_success && answer.looks_complete() && answer.body != whole {
+            let (got, all) = (answer.body.len(), whole.len());
+            broken.push(format!(
+                "{id}: MIXED: a success that looks complete has {got} of the engine's {all} bytes"
+            ));
+        }
+    }
+    gateway.end();
+    engines.iter_mut().for_each(|engine| kill_child(&mut engine.process));
+    finish(&broken);
+}
