--- a/review/stand-3/stand.rs
+++ b/review/stand-3/stand.rs
@@ -666,6 +666,208 @@
     )
 }
 
+/// A model engine that writes streams of events, as PROTOCOL.md has it, with one model.
+pub struct ModelEngine {
+    store: Arc<Store>,
+    name: String,
+    version: &'static str,
+    address: SocketAddr,
+    state: Mutex<ModelState>,
+}
+
+struct ModelState {
+    entry_state: &'static str,
+    /// Number of entries written, and of orders accepted.
+    beats: u64,
+    orders: u64,
+    is_busy: bool,
+    holds_model: bool,
+}
+
+/// Events of a stream, and the pause before each.
+pub const EVENTS: usize = 49;
+pub const EVENT_PAUSE_MS: u64 = 80;
+const BORN: u64 = 1_765_000_000_000;
+const LOAD_MS: u64 = 1_200;
+
+impl ModelEngine {
+    /// Starts an engine, which registers itself.
+    pub fn start(
+        store: &Arc<Store>,
+        name: &str,
+        version: &'static str,
+        holds_model: bool,
+    ) -> Arc<Self> {
+        let (listener, address) = listen();
+        let engine = Arc::new(Self {
+            store: store.clone(),
+            name: name.to_owned(),
+            version,
+            address,
+            state: Mutex::new(ModelState {
+                entry_state: "ready",
+                beats: 0,
+                orders: 0,
+                is_busy: false,
+                holds_model,
+            }),
+        });
+        let served = engine.clone();
+        serve(listener, move |req, out| served.clone().answer(req, out));
+        engine.write_entry();
+        engine
+    }
+
+    /// Reports that it drains.
+    pub fn drain(&self) {
+        self.state.lock().unwrap().entry_state = "draining";
+        self.write_entry();
+    }
+
+    /// Removes its entry.
+    pub fn leave(&self) {
+        self.store.remove(&format!("servers/{}", self.name));
+    }
+
+    fn models(holds_model: bool) -> &'static str {
+        match holds_model {
+            true => "[{\"Name\":\"m-one\",\"Version\":1,\"Adapters\":[]}]",
+            false => "[]",
+        }
+    }
+
+    fn write_entry(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.beats += 1;
+        let (address, version, entry_state) = (self.address, self.version, state.entry_state);
+        let models = Self::models(state.holds_model);
+        let value = format!(
+            "{{\"Service\":\"liquor-llm\",\"Address\":\"{address}\",\"Zone\":\"zone-a\",\
+             \"Version\":\"{version}\",\"Slots\":48,\"State\":\"{entry_state}\",\"ColdLeftMs\":0,\
+             \"Stage\":\"both\",\"Models\":{models},\"Seq\":{},\"born\":{BORN}}}",
+            state.beats
+        );
+        self.store.put(&format!("servers/{}", self.name), &value);
+    }
+
+    fn answer(self: Arc<Self>, req: &Received, out: &mut TcpStream) -> std::io::Result<bool> {
+        match req.path() {
+            "/rattanstall/report" => {
+                let state = self.state.lock().unwrap();
+                let body = format!(
+                    "{{\"Stage\":\"both\",\"Models\":{},\"Busy\":{},\"Seq\":{},\"Waiting\":0,\
+                     \"Running\":0,\"KvUsed\":0,\"KvTotal\":164235,\"Handles\":0,\"born\":{BORN}}}",
+                    Self::models(state.holds_model),
+                    state.is_busy,
+                    state.orders
+                );
+                drop(state);
+                answer(out, "200 OK", &body)
+            }
+            "/rattanstall/order" => self.take_order(req, out),
+            _ => self.write_stream(req, out),
+        }
+    }
+
+    fn take_order(self: Arc<Self>, req: &Received, out: &mut TcpStream) -> std::io::Result<bool> {
+        let order = Json::parse(&req.body).unwrap_or(Json::Null);
+        record(&format!(
+            "engine {} gets the order {}",
+            self.name,
+            String::from_utf8_lossy(&req.body)
+        ));
+        let loads = order.get("Operation").str() == "load";
+        let mut state = self.state.lock().unwrap();
+        let is_stale =
+            *order.get("Expected") != Json::Null && order.get("Expected").num() != state.orders;
+        let status = if state.is_busy || is_stale {
+            "409 Conflict"
+        } else if state.holds_model == loads {
+            "200 OK"
+        } else {
+            state.orders += 1;
+            state.is_busy = true;
+            let engine = self.clone();
+            thread::spawn(move || {
+                sleep_ms(LOAD_MS);
+                let mut state = engine.state.lock().unwrap();
+                state.is_busy = false;
+                state.holds_model = loads;
+                drop(state);
+                engine.write_entry();
+            });
+            "202 Accepted"
+        };
+        drop(state);
+        answer(out, status, "{}")
+    }
+
+    fn write_stream(&self, req: &Received, out: &mut TcpStream) -> std::io::Result<bool> {
+        let id = req.id();
+        if !self.state.lock().unwrap().holds_model {
+            let head = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nRattanstall-Request-Id: {id}\r\n\
+                 Rattanstall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            out.write_all(head.as_bytes())?;
+            return Ok(true);
+        }
+        let after: usize = req.header("Last-Event-Id").parse().unwrap_or(0);
+        let (name, version) = (&self.name, self.version);
+        record(&format!(
+            "engine {name} ({version}) runs {id} after event {after}"
+        ));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {id}\r\nRattanstall-Server-Stamp: \
+             3e1b.{id}\r\nRattanstall-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        out.write_all(head.as_bytes())?;
+        for event in after + 1..=EVENTS {
+            sleep_ms(EVENT_PAUSE_MS);
+            let text = format!("id: {event}\ndata: words {event} of {EVENTS}\n\n");
+            out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+        }
+        out.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+}
+
+/// A config with a service of model engines and a route whose streams may be resumed.
+pub fn stream_config() -> String {
+    "{\"Version\":7,\"Routes\":[{\"Name\":\"night\",\"Host\":\"mill.example\",\"Prefix\":\"/night/\",\
+     \"Kind\":\"stream\",\"TimeoutMs\":15000,\"TargetLatencyMs\":1200,\"Priority\":0,\
+     \"Service\":\"liquor-llm\",\"MaxAttempts\":2,\"Public\":false,\"Sticky\":true,\
+     \"CanResume\":true,\"GapAimMs\":250}],\"Services\":[{\"Name\":\"liquor-llm\",\
+     \"HealthPath\":\"/healthz\",\"MaxConns\":300,\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{\
+     \"Slots\":48,\"KvCapacity\":164235,\"WeightMb\":200000.0,\"AdapterSlots\":8,\"LoadsPerS\":2.6,\
+     \"Models\":[{\"Name\":\"m-one\",\"WeightMb\":65100.0,\"LoadS\":1.2,\"Adapters\":0,\
+     \"AdapterMb\":12.0}]}}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\
+     \"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"mill-one\",\
+     \"ApiKeys\":[\"key-one\"],\"Priority\":1,\"Unit\":\"tokens\",\"PlainTokens\":200,\
+     \"RatePerS\":106857,\"Burst\":106857}]}"
+        .to_owned()
+}
+
+/// A request for a stream, which goes on after an event if `resumes` names the first attempt.
+pub fn stream_request(id: &str, deadline_ms: u64, resumes: Option<(&str, usize)>) -> Vec<u8> {
+    let resumes = resumes.map_or(String::new(), |(first, last)| {
+        format!("Resumes: {first}\r\nLast-Event-Id: {last}\r\n")
+    });
+    // The last part of the prompt belongs to the request.
+    let own = id
+        .bytes()
+        .fold(7u32, |hash, b| hash.wrapping_mul(31).wrapping_add(b.into()));
+    format!(
+        "POST /night/sum HTTP/1.1\r\nHost: mill.example\r\nRattanstall-Request-Id: {id}\r\n\
+         Rattanstall-Model: m-one\r\nRattanstall-Token-Count: 826,294\r\n\
+         Rattanstall-Prompt-Prefix: 5c1e07a2:198,{own:08x}:628\r\n\
+         Rattanstall-Deadline-Ms: {deadline_ms}\r\n{resumes}Authorization: Bearer key-one\r\n\
+         Content-Length: 6\r\n\r\nprompt"
+    )
+    .into_bytes()
+}
+
 /// A body in which each line has its number, so that any cut or mix shows.
 pub fn numbered_body(bytes: usize) -> Vec<u8> {
     let mut out = Vec::with_capacity(bytes + 16);
