--- a/review/stand-3/case11.rs
+++ b/review/stand-3/case11.rs
@@ -1,12 +1,14 @@
-//! An engine's process ends while it writes plain answers that have neither a length nor chunks.
+//! An engine's process ends while it writes a plain answer that has neither a length nor chunks.
 //!
-//! Without arguments this is the case; with `engine` it is the engine's process.
+//! Without arguments this is the case; with `engine` it is the engine's process, and the number that
+//! may follow says which of its answers is unframed.
 
 #[path = "stand.rs"]
 mod stand;
 
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -20,19 +22,33 @@
 const KILL_AT_MS: u64 = 450;
 const DEADLINE_MS: u64 = 4_000;
 const ENGINES: usize = 7;
-const CONSUMERS: usize = 42;
+const CONSUMERS: usize = 168;
+/// The one answer without length, by its number at the engine that crashes: one of about 24.
+const UNFRAMED: usize = 5;
 
-/// Serves plain answers that end with their channel, until the process is killed.
-fn be_engine() -> ! {
+/// Serves plain answers until the process is killed. The one named ends with its channel, the others
+/// have a length.
+fn be_engine(unframed: Option<usize>) -> ! {
     let (listener, address) = listen();
     println!("{address}");
-    serve(listener, |req, out| {
-        println!("runs {} ({} {})", req.id(), req.method, req.target);
+    let so_far = AtomicUsize::new(0);
+    serve(listener, move |req, out| {
+        let number = so_far.fetch_add(1, Ordering::AcqRel) + 1;
+        let is_unframed = unframed == Some(number);
+        println!(
+            "runs {} ({} {}), its answer {number}, unframed: {is_unframed}",
+            req.id(),
+            req.method,
+            req.target
+        );
         let body = numbered_body(PIECES * PIECE_BYTES);
+        let framing = match is_unframed {
+            true => "Connection: close".to_owned(),
+            false => format!("Content-Length: {}", body.len()),
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {}\r\n\
-             Rattanstall-Server-Stamp: 3e1b.{}\r\nContent-Type: text/plain\r\n\
-             Connection: close\r\n\r\n",
+             Rattanstall-Server-Stamp: 3e1b.{}\r\nContent-Type: text/plain\r\n{framing}\r\n\r\n",
             req.id(),
             req.id()
         );
@@ -42,8 +58,8 @@
             out.write_all(piece)?;
         }
         println!("has written the whole answer to {}", req.id());
-        // The end of the channel is the end of the answer.
-        Ok(false)
+        // The end of the channel is the end of an unframed answer.
+        Ok(!is_unframed)
     });
     loop {
         thread::park();
@@ -59,6 +75,7 @@
     let program = std::env::current_exe().expect("this program");
     let started = Command::new(program)
         .arg("engine")
+        .args((index == 0).then(|| UNFRAMED.to_string()))
         .stdout(Stdio::piped())
         .spawn();
     let mut process = started.unwrap_or_else(|e| cannot_run(&format!("no engine: {e}")));
@@ -76,8 +93,9 @@
 }
 
 fn main() {
-    if std::env::args().nth(1).as_deref() == Some("engine") {
-        be_engine();
+    let mut arguments = std::env::args().skip(1);
+    if arguments.next().as_deref() == Some("engine") {
+        be_engine(arguments.next().and_then(|number| number.parse().ok()));
     }
     open_record();
     let (store, store_address) = Store::start();
@@ -98,7 +116,7 @@
             let to = gateway.front;
             thread::spawn(move || {
                 let (method, path) = [("GET", "/lookup/day"), ("POST", "/filing/day")][index % 2];
-                let id = format!("c{index:02}-{}", &path[1..7]);
+                let id = format!("c{index:03}-{}", &path[1..7]);
                 let body: &[u8] = if method == "POST" { b"report" } else { b"" };
                 let stream = connect(to, Pace::default()).expect("the gateway accepts");
                 record(&format!("consumer sends {id} ({method} {path})"));
