--- a/review/stand-3/case12.rs
+++ b/review/stand-3/case12.rs
@@ -1,5 +1,5 @@
-//! A gateway stands still while an engine crashes and comes back, in the middle of streams that have
-//! neither a length nor chunks.
+//! A gateway stands still while an engine crashes and comes back, in the middle of streams of which one
+//! has neither a length nor chunks.
 //!
 //! Without arguments this is the case; with `engine` it is the engine's process, at the address that
 //! follows if there is one.
@@ -20,7 +20,12 @@
 const GATEWAYS: usize = 4;
 /// Engines beside the one that crashes.
 const OTHERS: usize = 6;
+/// Streams of a wave. Two waves come before the one in which the engine crashes, so that its one
+/// stream without chunks, the first of the last wave there, is one of about 24.
 const CONSUMERS: usize = 56;
+const LAST_WAVE: char = 'c';
+/// From one wave to the next: a stream takes 4 s.
+const WAVE_MS: u64 = 5_000;
 /// When the gateway is suspended, after the requests were sent, and for how long.
 const FREEZE_AT_MS: u64 = 1_000;
 const FREEZE_MS: u64 = 3_400;
@@ -36,11 +41,13 @@
 static HOLDS: AtomicBool = AtomicBool::new(false);
 static IS_BUSY: AtomicBool = AtomicBool::new(false);
 static ORDERS: AtomicU64 = AtomicU64::new(0);
+/// Whether the process has begun its unframed stream.
+static HAS_BEGUN: AtomicBool = AtomicBool::new(false);
 /// What it says when it has loaded the model.
 const LOADED: &str = "has loaded the model";
 
-/// Serves streams that end with their channel, until the process is killed. After a restart it
-/// holds no model until it is ordered to load it.
+/// Serves streams until the process is killed; one of them ends with its channel, the others have
+/// chunks. After a restart it holds no model until it is ordered to load it.
 fn be_engine(address: Option<&str>) -> ! {
     let is_back = address.is_some();
     HOLDS.store(!is_back, Ordering::Release);
@@ -108,20 +115,35 @@
 
 fn write_stream(req: &Received, out: &mut std::net::TcpStream) -> std::io::Result<bool> {
     let after: usize = req.header("Last-Event-Id").parse().unwrap_or(0);
-    println!("runs {} after event {after}", req.id());
+    let is_unframed = req.id().starts_with(LAST_WAVE) && !HAS_BEGUN.swap(true, Ordering::AcqRel);
+    println!(
+        "runs {} after event {after}, unframed: {is_unframed}",
+        req.id()
+    );
+    let framing = match is_unframed {
+        true => "Connection: close",
+        false => "Transfer-Encoding: chunked",
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\nRattanstall-Request-Id: {}\r\nRattanstall-Server-Stamp: 3e1b.{}\r\n\
-         Rattanstall-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
-         Connection: close\r\n\r\n",
+         Rattanstall-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n",
         req.id(),
         req.id()
     );
     out.write_all(head.as_bytes())?;
     for event in after + 1..=EVENTS {
         sleep_ms(EVENT_PAUSE_MS);
-        out.write_all(format!("id: {event}\ndata: words {event} of {EVENTS}\n\n").as_bytes())?;
+        let text = format!("id: {event}\ndata: words {event} of {EVENTS}\n\n");
+        let piece = match is_unframed {
+            true => text,
+            false => format!("{:x}\r\n{text}\r\n", text.len()),
+        };
+        out.write_all(piece.as_bytes())?;
     }
-    Ok(false)
+    if !is_unframed {
+        out.write_all(b"0\r\n\r\n")?;
+    }
+    Ok(!is_unframed)
 }
 
 fn engine_entry(address: SocketAddr, is_back: bool, holds: bool) -> String {
@@ -159,29 +181,13 @@
     (process, address)
 }
 
-fn main() {
-    let mut arguments = std::env::args().skip(1);
-    if arguments.next().as_deref() == Some("engine") {
-        be_engine(arguments.next().as_deref());
-    }
-    open_record();
-    let (store, store_address) = Store::start();
-    for index in 0..OTHERS {
-        ModelEngine::start(&store, &format!("i-{index}"), "v1", true);
-    }
-    let (mut engine, address) = start_engine(&store, None);
-    store.put("servers/i-crash", &engine_entry(address, false, true));
-    store.put("op/config", &stream_config());
-    let mut gateways: Vec<Gateway> = (0..GATEWAYS)
-        .map(|n| Gateway::start(&format!("front-zone-a-{n}"), "zone-a", store_address))
-        .collect();
-    sleep_ms(5_000);
+type Consumer = thread::JoinHandle<(String, Answer, Vec<usize>)>;
 
-    let to = gateways[0].front;
-    let consumers: Vec<_> = (0..CONSUMERS)
+fn start_wave(to: SocketAddr, wave: char) -> Vec<Consumer> {
+    (0..CONSUMERS)
         .map(|index| {
             thread::spawn(move || {
-                let id = format!("c{index:02}-night");
+                let id = format!("{wave}{index:02}-night");
                 let stream = connect(to, Pace::default()).expect("the gateway accepts");
                 (&stream)
                     .write_all(&stream_request(&id, DEADLINE_MS, None))
@@ -201,7 +207,33 @@
                 (id, answer, ids)
             })
         })
+        .collect()
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    if arguments.next().as_deref() == Some("engine") {
+        be_engine(arguments.next().as_deref());
+    }
+    open_record();
+    let (store, store_address) = Store::start();
+    for index in 0..OTHERS {
+        ModelEngine::start(&store, &format!("i-{index}"), "v1", true);
+    }
+    let (mut engine, address) = start_engine(&store, None);
+    store.put("servers/i-crash", &engine_entry(address, false, true));
+    store.put("op/config", &stream_config());
+    let mut gateways: Vec<Gateway> = (0..GATEWAYS)
+        .map(|n| Gateway::start(&format!("front-zone-a-{n}"), "zone-a", store_address))
         .collect();
+    sleep_ms(5_000);
+
+    let to = gateways[0].front;
+    let mut consumers = start_wave(to, 'a');
+    for wave in ['b', LAST_WAVE] {
+        sleep_ms(WAVE_MS);
+        consumers.extend(start_wave(to, wave));
+    }
     sleep_ms(FREEZE_AT_MS);
     if has_trouble() {
         gateways[0].signal(SIGSTOP);
