--- a/review/stand-3/case11.rs
+++ b/review/stand-3/case11.rs
@@ -18,8 +18,9 @@
 const PIECES: usize = 8;
 const PIECE_BYTES: usize = 100;
 const PAUSE_MS: u64 = 100;
-/// When the engine's process is killed, after the requests were sent: in the middle of them.
-const KILL_AT_MS: u64 = 450;
+/// When the engine's process is killed, after the last request was sent: in the middle of the
+/// unframed answer, which begins among the first.
+const KILL_AT_MS: u64 = 300;
 const DEADLINE_MS: u64 = 4_000;
 const ENGINES: usize = 7;
 const CONSUMERS: usize = 168;
@@ -114,6 +115,8 @@
     let consumers: Vec<_> = (0..CONSUMERS)
         .map(|index| {
             let to = gateway.front;
+            // So that the queue of channels to accept doesn't overflow.
+            sleep_ms(1);
             thread::spawn(move || {
                 let (method, path) = [("GET", "/lookup/day"), ("POST", "/filing/day")][index % 2];
                 let id = format!("c{index:03}-{}", &path[1..7]);
